--- a/src/control.rs
+++ b/src/control.rs
@@ -26,6 +26,12 @@
 const PUSH_SAFETY: f64 = 0.75;
 /// Weight of one more envelope within a call, against the call itself.
 const PUSH_PER_EXTRA: f64 = 0.25;
+/// Envelopes a second that the smallest destination is taken to be built for, where nothing else is known.
+const LEAST_CAPACITY: f64 = 2.0;
+/// Spacing of calls to a route that refuses them: grown by each refusal, shrunk by each answer, so that about
+/// one call in eight may be refused while the limit is being felt for.
+const SPACING_GROWTH: f64 = 1.6;
+const SPACING_SHRINK: f64 = 0.93;
 /// Weight of a new response time in the running mean.
 const MEAN_STEP: f64 = 0.2;
 /// Calls of any route are taken for overdue after this many mean response times.
@@ -168,16 +174,16 @@
         }
     }
 
-    fn re_arm(&mut self, now: Duration, card: &RateCard) {
-        self.restrained_until = Some(now + card.recovery_delay);
+    fn re_arm(&mut self, now: Duration, recovery_delay: Duration) {
+        self.restrained_until = Some(now + recovery_delay);
         self.last_write = now;
     }
 
-    fn fail(&mut self, now: Duration, card: &RateCard) {
+    fn fail(&mut self, now: Duration, recovery_delay: Duration, card: &RateCard) {
         self.failures.push(now);
         prune(&mut self.failures, now, card.window);
         if self.restrained_until.is_some() || tripped(&self.failures, card.window) {
-            self.restrained_until = Some(now + card.recovery_delay);
+            self.restrained_until = Some(now + recovery_delay);
         }
         self.last_write = now;
     }
@@ -228,14 +234,14 @@
             Route::Apart(_) => d.targets.iter().filter(active).count().max(1),
         };
         let seen = d.arrivals as f64 / elapsed / routes as f64;
-        // A listed rate may be half too high; the smallest reading of it is still better than a small sample.
+        // A listed rate may be half too high; capacity lies over it, and a small sample errs by more.
         let listed = d.targets.iter().find(|t| match route {
             Route::Shared(_) => true,
             Route::Apart(own) => **t == own,
         });
         let listed = listed.and_then(|t| self.targets.get(t)).and_then(|t| t.weight);
         match listed {
-            Some(w) if self.card.weights_are_rates => seen.max(w / 1.5 / self.card.forwarders),
+            Some(w) if self.card.weights_are_rates => seen.max(w / self.card.forwarders),
             _ => seen,
         }
     }
@@ -254,13 +260,28 @@
             return None;
         }
         let rate = self.usual_rate(route, destination, now);
-        let budget = PUSH_SAFETY * card.fall_multiple * share * rate * card.tip_after.as_secs_f64();
-        let recent = circuit.pushes.iter().filter(|p| now.saturating_sub(p.0) < card.tip_after);
+        let per_second = PUSH_SAFETY * card.fall_multiple * share * rate;
+        let budget = per_second * card.tip_after.as_secs_f64();
+        if budget < 1.0 {
+            // Less than one call for each span is this forwarder's part.
+            let last = circuit.pushes.back()?.0 + seconds(1.0 / per_second.max(0.01));
+            return (now < last).then_some(last);
+        }
+        let mut recent = circuit.pushes.iter().filter(|p| now.saturating_sub(p.0) < card.tip_after);
         let spent: f64 = recent.clone().map(|p| p.1).sum();
-        if spent == 0.0 || spent + 1.0 <= budget {
+        if spent + 1.0 <= budget {
             return None;
         }
-        recent.map(|p| p.0 + card.tip_after).next()
+        recent.next().map(|p| p.0 + card.tip_after)
+    }
+
+    /// The design's delay for a route. Every forwarder sends a trial of its own, and the first ones after a
+    /// return all land on a cold destination: with many forwarders or a small route they come less often.
+    fn recovery_delay(&self, route: Route, destination: DestinationId, now: Duration) -> Duration {
+        let card = &self.card;
+        let part = self.usual_rate(route, destination, now).max(LEAST_CAPACITY / card.forwarders);
+        let trials = card.fall_multiple * card.cold_from * part * card.tip_after.as_secs_f64();
+        card.recovery_delay.max(seconds(card.tip_after.as_secs_f64() / trials.min(1.0)).min(card.warm_within))
     }
 
     /// How long answers may stay out before the route counts as silent.
@@ -292,6 +313,12 @@
                 return Leave::Hold(None);
             }
         }
+        // Symptom: calls are refused as over a limit, which refused calls may use up as well. Also covers full
+        // queues. It can harm by staying slow for some answers after a limit was felt only once.
+        let spaced = circuit.pushes.back().map_or(now, |p| p.0 + seconds(circuit.spacing));
+        if now < spaced {
+            return Leave::Hold(Some(spaced));
+        }
         match self.push_room(route, destination, now) {
             Some(at) => Leave::Hold(Some(at)),
             None => Leave::Send,
@@ -300,13 +327,15 @@
 
     /// What one outcome tells of the route and the target.
     fn learn(&mut self, route: Route, target: TargetId, now: Duration, took: Duration, outcome: Outcome) {
+        let destination = self.targets.get(&target).map_or(DestinationId(0), |t| t.destination);
+        let recovery_delay = self.recovery_delay(route, destination, now);
         let card = &self.card;
         let circuit = self.circuits.entry(route).or_default();
         let strikes = match outcome {
             Outcome::CalledOff | Outcome::Unsent => return,
             Outcome::Completed => {
                 circuit.success(now);
-                circuit.fulls = 0;
+                circuit.spacing *= SPACING_SHRINK;
                 circuit.time_outs = 0;
                 circuit.last_answer = now;
                 let took = took.as_secs_f64();
@@ -318,7 +347,7 @@
                 0
             }
             failure => {
-                circuit.fail(now, card);
+                circuit.fail(now, recovery_delay, card);
                 let first = circuit.failures[0];
                 let lasting = circuit.failures.len() > 1 && now.saturating_sub(first) >= card.tip_after / 4;
                 let unanswered =
@@ -332,10 +361,10 @@
                         circuit.pushes.pop_back();
                     }
                     Outcome::Full(wait) => {
-                        // Untold waits are guessed, longer with each refusal in a row.
-                        let guess = (card.recovery_delay / 4) * 2u32.pow(circuit.fulls.min(2));
-                        circuit.wait_until = circuit.wait_until.max(now + wait.unwrap_or(guess));
-                        circuit.fulls += 1;
+                        circuit.wait_until = circuit.wait_until.max(now + wait.unwrap_or_default());
+                        let first = card.recovery_delay.as_secs_f64() / 8.0;
+                        let most = 2.0 * recovery_delay.as_secs_f64();
+                        circuit.spacing = (circuit.spacing * SPACING_GROWTH).clamp(first, most);
                     }
                     Outcome::TimedOut => circuit.time_outs += 1,
                     _ => {}
@@ -412,7 +441,7 @@
         for circuit in self.circuits.values_mut() {
             circuit.expire(now, &self.card);
             let spans = [self.card.tip_after, self.card.warm_within];
-            while circuit.pushes.front().is_some_and(|p| now.saturating_sub(p.0) > spans[0]) {
+            while circuit.pushes.len() > 1 && now.saturating_sub(circuit.pushes[0].0) > spans[0] {
                 circuit.pushes.pop_front();
             }
             if circuit.trouble.is_some_and(|t| now > t + spans[0] + spans[1]) {
@@ -562,8 +591,9 @@
                 }
             }
             if trial {
+                let recovery_delay = self.recovery_delay(route, self.targets[&target].destination, now);
                 let circuit = self.circuits.entry(route).or_default();
-                circuit.re_arm(now, &self.card);
+                circuit.re_arm(now, recovery_delay);
                 circuit.trial = Some((id.clone(), no));
             }
             let then = after_dispatch(id.clone(), target, now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -68,7 +68,8 @@
     /// Calls out at once while held envelopes rejoin; none: no such limit.
     pub rejoin: Option<usize>,
     pub wait_until: Duration,
-    pub fulls: u32,
+    /// Least seconds between calls, learned from refusals.
+    pub spacing: f64,
     pub time_outs: u32,
     /// Last evidence that the route may be down or cold.
     pub trouble: Option<Duration>,
