--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -261,7 +261,7 @@
             };
             let over = event.at(5).and_then(Value::as_bool).unwrap_or_default();
             let no = DispatchNo(event.small(1)?);
-            forwarder.settled(now, &event.envelope(0)?, no, event.span(2)?, outcome, over, host);
+            forwarder.settled(now, &event.envelope(0)?, no, outcome, over, host);
         }
         "Left" => forwarder.withdrawn(&event.envelope(0)?, host),
         "Alarm" => forwarder.alarm(now),
--- a/src/control.rs
+++ b/src/control.rs
@@ -281,7 +281,10 @@
         let card = &self.card;
         let part = self.usual_rate(route, destination, now).max(LEAST_CAPACITY / card.forwarders);
         let trials = card.fall_multiple * card.cold_from * part * card.tip_after.as_secs_f64();
-        card.recovery_delay.max(seconds(card.tip_after.as_secs_f64() / trials.min(1.0)).min(card.warm_within))
+        if trials >= 1.0 {
+            return card.recovery_delay;
+        }
+        card.recovery_delay.max(seconds(card.tip_after.as_secs_f64() / trials).min(card.warm_within))
     }
 
     /// How long answers may stay out before the route counts as silent.
@@ -326,7 +329,7 @@
     }
 
     /// What one outcome tells of the route and the target.
-    fn learn(&mut self, route: Route, target: TargetId, now: Duration, took: Duration, outcome: Outcome) {
+    fn learn(&mut self, route: Route, target: TargetId, sent: Duration, now: Duration, outcome: Outcome) {
         let destination = self.targets.get(&target).map_or(DestinationId(0), |t| t.destination);
         let recovery_delay = self.recovery_delay(route, destination, now);
         let card = &self.card;
@@ -338,7 +341,7 @@
                 circuit.spacing *= SPACING_SHRINK;
                 circuit.time_outs = 0;
                 circuit.last_answer = now;
-                let took = took.as_secs_f64();
+                let took = now.saturating_sub(sent).as_secs_f64();
                 let mean = circuit.mean.unwrap_or(took);
                 circuit.mean = Some(mean + MEAN_STEP * (took - mean));
                 if circuit.rejoin.is_some_and(|calls| calls >= card.slots) {
@@ -362,9 +365,13 @@
                     }
                     Outcome::Full(wait) => {
                         circuit.wait_until = circuit.wait_until.max(now + wait.unwrap_or_default());
-                        let first = card.recovery_delay.as_secs_f64() / 8.0;
-                        let most = 2.0 * recovery_delay.as_secs_f64();
-                        circuit.spacing = (circuit.spacing * SPACING_GROWTH).clamp(first, most);
+                        // Told waits are honest. Calls out together that are refused together count once.
+                        if wait.is_none() && sent >= circuit.spaced_at {
+                            let first = card.recovery_delay.as_secs_f64() / 8.0;
+                            let most = recovery_delay.as_secs_f64();
+                            circuit.spacing = (circuit.spacing * SPACING_GROWTH).clamp(first, most);
+                            circuit.spaced_at = now;
+                        }
                     }
                     Outcome::TimedOut => circuit.time_outs += 1,
                     _ => {}
@@ -869,10 +876,11 @@
         self.envelopes.insert(id, envelope);
     }
 
-    /// Whether a tenant's traffic is over its share now. A forwarder sees its own part only, and takes its part
-    /// of the share for an even one; a second of the share may come at once.
+    /// Whether a tenant's traffic is over its share now. A forwarder sees its own part only and cannot tell how
+    /// traffic is spread, so that it judges by the whole share: what is over that here is over it everywhere.
+    /// Two seconds of the share may come at once.
     fn over_share(&mut self, tenant: usize, now: Duration) -> bool {
-        let share = self.card.tenants[tenant].1 / self.card.forwarders;
+        let share = self.card.tenants[tenant].1;
         let account = &mut self.tenants[tenant];
         let gone = now.saturating_sub(account.since).as_secs_f64();
         account.balance = (account.balance + share * gone).min(share.max(1.0) * 2.0);
@@ -891,7 +899,6 @@
         now: Duration,
         id: &EnvelopeId,
         no: DispatchNo,
-        took: Duration,
         outcome: Outcome,
         over: bool,
         host: &mut dyn Host,
@@ -914,7 +921,7 @@
                 c.trial = None;
             }
         }
-        self.learn(dispatch.route, dispatch.target, now, took, outcome);
+        self.learn(dispatch.route, dispatch.target, dispatch.sent, now, outcome);
         let unsure = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff);
         let mut others = false;
         if let Some(envelope) = self.envelopes.get_mut(id) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -70,6 +70,7 @@
     pub wait_until: Duration,
     /// Least seconds between calls, learned from refusals.
     pub spacing: f64,
+    pub spaced_at: Duration,
     pub time_outs: u32,
     /// Last evidence that the route may be down or cold.
     pub trouble: Option<Duration>,
