Guard returns per target, rest struck targets, space calls from the sent rate

Cause: one dead target of two kept restarting the pacing meant for a return of its whole destination, and short limits were taken for outages; after a refusal the spacing started far from the rate that the destination does take.

--- a/src/control.rs
+++ b/src/control.rs
@@ -213,45 +213,40 @@
 // Guards around the circuit.
 
 impl Forwarder {
+    fn apart(&self, target: &Target) -> bool {
+        target.kind.and_then(|k| self.card.kinds.get(k)).is_some_and(|k| k.1)
+    }
+
     fn route_of(&self, id: TargetId, target: &Target) -> Route {
-        let apart = target.kind.and_then(|k| self.card.kinds.get(k)).is_some_and(|k| k.1);
-        if apart {
+        if self.apart(target) {
             Route::Apart(id)
         } else {
             Route::Shared(target.destination)
         }
     }
 
-    /// Envelopes a second that this forwarder usually has for the route. All forwarders together have no more
+    /// Envelopes a second that this forwarder usually has for a target. All forwarders together have no more
     /// than the destination takes on a usual day, so that shares of it add up to shares of its capacity, however
     /// unevenly the traffic is spread over them.
-    fn usual_rate(&self, route: Route, destination: DestinationId, now: Duration) -> f64 {
-        let Some(d) = self.destinations.get(&destination) else { return 0.0 };
+    fn usual_rate(&self, target: &Target, now: Duration) -> f64 {
+        let Some(d) = self.destinations.get(&target.destination) else { return 0.0 };
         let elapsed = now.saturating_sub(d.first_seen).max(self.card.warm_within).as_secs_f64();
         let active = |t: &&TargetId| self.targets.get(t).is_some_and(|t| t.standing == Standing::Active);
-        let routes = match route {
-            Route::Shared(_) => 1,
-            Route::Apart(_) => d.targets.iter().filter(active).count().max(1),
-        };
-        let seen = d.arrivals as f64 / elapsed / routes as f64;
+        let targets = d.targets.iter().filter(active).count().max(1) as f64;
+        let seen = d.arrivals as f64 / elapsed / targets;
         // A listed rate may be half too high; capacity lies over it, and a small sample errs by more.
-        let listed = d.targets.iter().find(|t| match route {
-            Route::Shared(_) => true,
-            Route::Apart(own) => **t == own,
-        });
-        let listed = listed.and_then(|t| self.targets.get(t)).and_then(|t| t.weight);
-        match listed {
-            Some(w) if self.card.weights_are_rates => seen.max(w / self.card.forwarders),
-            _ => seen,
+        match target.weight.filter(|_| self.card.weights_are_rates) {
+            Some(w) if self.apart(target) => seen.max(w / self.card.forwarders),
+            Some(w) => seen.max(w / self.card.forwarders / targets),
+            None => seen,
         }
     }
 
-    /// Guard for rule 4. Symptom: a route that failed or refused calls may be on its way back, and cold. Also
-    /// covers one that fails on part of its calls and one that is only over its limit. It can harm a route
-    /// that was never cold, by pacing it for a few seconds after two refusals in a row.
-    fn push_room(&self, route: Route, destination: DestinationId, now: Duration) -> Option<Duration> {
-        let circuit = self.circuits.get(&route)?;
-        let trouble = circuit.trouble?;
+    /// Guard for rule 4. Symptom: a target that failed calls, or refused all, may be on its way back, and cold.
+    /// Also covers one that fails on part of its calls. It can harm one that was never cold, by pacing it for
+    /// some seconds after a time-out.
+    fn push_room(&self, target: &Target, now: Duration) -> Option<Duration> {
+        let trouble = target.trouble?;
         let card = &self.card;
         let warmed = now.saturating_sub(trouble + card.tip_after).as_secs_f64();
         let share =
@@ -259,15 +254,14 @@
         if share >= 1.0 {
             return None;
         }
-        let rate = self.usual_rate(route, destination, now);
-        let per_second = PUSH_SAFETY * card.fall_multiple * share * rate;
+        let per_second = PUSH_SAFETY * card.fall_multiple * share * self.usual_rate(target, now);
         let budget = per_second * card.tip_after.as_secs_f64();
         if budget < 1.0 {
             // Less than one call for each span is this forwarder's part.
-            let last = circuit.pushes.back()?.0 + seconds(1.0 / per_second.max(0.01));
+            let last = target.pushes.back()?.0 + seconds(1.0 / per_second.max(0.01));
             return (now < last).then_some(last);
         }
-        let mut recent = circuit.pushes.iter().filter(|p| now.saturating_sub(p.0) < card.tip_after);
+        let mut recent = target.pushes.iter().filter(|p| now.saturating_sub(p.0) < card.tip_after);
         let spent: f64 = recent.clone().map(|p| p.1).sum();
         if spent + 1.0 <= budget {
             return None;
@@ -277,9 +271,9 @@
 
     /// The design's delay for a route. Every forwarder sends a trial of its own, and the first ones after a
     /// return all land on a cold destination: with many forwarders or a small route they come less often.
-    fn recovery_delay(&self, route: Route, destination: DestinationId, now: Duration) -> Duration {
+    fn recovery_delay(&self, target: &Target, now: Duration) -> Duration {
         let card = &self.card;
-        let part = self.usual_rate(route, destination, now).max(LEAST_CAPACITY / card.forwarders);
+        let part = self.usual_rate(target, now).max(LEAST_CAPACITY / card.forwarders);
         let trials = card.fall_multiple * card.cold_from * part * card.tip_after.as_secs_f64();
         if trials >= 1.0 {
             return card.recovery_delay;
@@ -293,8 +287,8 @@
         seconds(OVERDUE_MEANS * mean).max(self.card.recovery_delay / 2)
     }
 
-    /// Whether a call may go to the route now.
-    fn admit(&self, route: Route, destination: DestinationId, now: Duration) -> Leave {
+    /// Whether a call may go to the target now.
+    fn admit(&self, route: Route, target: &Target, now: Duration) -> Leave {
         let Some(circuit) = self.circuits.get(&route) else { return Leave::Send };
         if now < circuit.wait_until {
             return Leave::Hold(Some(circuit.wait_until));
@@ -318,25 +312,37 @@
         }
         // Symptom: calls are refused as over a limit, which refused calls may use up as well. Also covers full
         // queues. It can harm by staying slow for some answers after a limit was felt only once.
-        let spaced = circuit.pushes.back().map_or(now, |p| p.0 + seconds(circuit.spacing));
+        let spaced = circuit.last_sent + seconds(circuit.spacing);
         if now < spaced {
             return Leave::Hold(Some(spaced));
         }
-        match self.push_room(route, destination, now) {
+        match self.push_room(target, now) {
             Some(at) => Leave::Hold(Some(at)),
             None => Leave::Send,
         }
     }
 
     /// What one outcome tells of the route and the target.
-    fn learn(&mut self, route: Route, target: TargetId, sent: Duration, now: Duration, outcome: Outcome) {
-        let destination = self.targets.get(&target).map_or(DestinationId(0), |t| t.destination);
-        let recovery_delay = self.recovery_delay(route, destination, now);
+    fn learn(&mut self, route: Route, id: TargetId, sent: Duration, now: Duration, outcome: Outcome) {
+        let Some(target) = self.targets.get(&id) else { return };
+        let recovery_delay = self.recovery_delay(target, now);
+        let destination = target.destination;
+        // Calls that this forwarder has sent to the route of late.
+        let alike = |(t, at): &(&TargetId, &Target)| match route {
+            Route::Apart(own) => **t == own,
+            Route::Shared(own) => at.destination == own,
+        };
+        let lately = self.targets.iter().filter(alike).flat_map(|(_, t)| &t.pushes);
+        let lately = lately.filter(|p| now.saturating_sub(p.0) < self.card.tip_after).count();
         let card = &self.card;
         let circuit = self.circuits.entry(route).or_default();
-        let strikes = match outcome {
+        let Some(target) = self.targets.get_mut(&id) else { return };
+        let mut all_troubled = false;
+        match outcome {
             Outcome::CalledOff | Outcome::Unsent => return,
             Outcome::Completed => {
+                // Whatever the route's targets showed before, they have only now come back.
+                all_troubled = circuit.restrained_until.is_some();
                 circuit.success(now);
                 circuit.spacing *= SPACING_SHRINK;
                 circuit.time_outs = 0;
@@ -347,42 +353,45 @@
                 if circuit.rejoin.is_some_and(|calls| calls >= card.slots) {
                     circuit.rejoin = None;
                 }
-                0
+                target.strikes = 0;
+                target.earned = (target.earned + EARNED_PER_ANSWER).min(EARNED_MOST);
             }
-            failure => {
+            Outcome::Full(wait) => {
                 circuit.fail(now, recovery_delay, card);
-                let first = circuit.failures[0];
-                let lasting = circuit.failures.len() > 1 && now.saturating_sub(first) >= card.tip_after / 4;
-                let unanswered =
-                    matches!(failure, Outcome::TimedOut | Outcome::NoConnection | Outcome::Broken);
-                if unanswered || lasting || circuit.trouble.is_some() && circuit.restrained_until.is_some() {
-                    circuit.trouble = Some(now);
+                // A limit lets some calls through; one that refuses all for long, or says so, is shut.
+                let silent = now.saturating_sub(circuit.last_answer) >= card.tip_after / 2;
+                all_troubled = circuit.restrained_until.is_some() && silent
+                    || wait.is_some_and(|w| w >= card.tip_after * 2);
+                circuit.wait_until = circuit.wait_until.max(now + wait.unwrap_or_default());
+                // Told waits are honest. Calls out together that are refused together count once.
+                if wait.is_none() && sent >= circuit.spaced_at {
+                    let first = if lately > 1 {
+                        SPACING_GROWTH * card.tip_after.as_secs_f64() / lately as f64
+                    } else {
+                        card.recovery_delay.as_secs_f64() / 8.0
+                    };
+                    let most = card.forwarders / LEAST_CAPACITY;
+                    circuit.spacing = (circuit.spacing * SPACING_GROWTH).max(first).min(most);
+                    circuit.spaced_at = now;
                 }
+            }
+            failure => {
+                circuit.fail(now, recovery_delay, card);
+                target.strikes += 1;
                 match failure {
                     // No connection was made: the call never reached the destination, and pushed nothing.
-                    Outcome::NoConnection => {
-                        circuit.pushes.pop_back();
-                    }
-                    Outcome::Full(wait) => {
-                        circuit.wait_until = circuit.wait_until.max(now + wait.unwrap_or_default());
-                        // Told waits are honest. Calls out together that are refused together count once.
-                        if wait.is_none() && sent >= circuit.spaced_at {
-                            let first = card.recovery_delay.as_secs_f64() / 8.0;
-                            let most = recovery_delay.as_secs_f64();
-                            circuit.spacing = (circuit.spacing * SPACING_GROWTH).clamp(first, most);
-                            circuit.spaced_at = now;
-                        }
-                    }
+                    Outcome::NoConnection => drop(target.pushes.pop_back()),
                     Outcome::TimedOut => circuit.time_outs += 1,
                     _ => {}
                 }
-                self.targets.get(&target).map_or(0, |t| t.strikes + 1)
+                if failure != Outcome::Error || circuit.failures.len() > 1 {
+                    target.trouble = Some(now);
+                }
             }
-        };
-        if let Some(t) = self.targets.get_mut(&target) {
-            t.strikes = strikes;
-            if outcome == Outcome::Completed {
-                t.earned = (t.earned + EARNED_PER_ANSWER).min(EARNED_MOST);
+        }
+        if all_troubled {
+            for t in self.targets.values_mut().filter(|t| t.destination == destination) {
+                t.trouble = Some(now);
             }
         }
     }
@@ -447,12 +456,14 @@
         self.make_room(now, host);
         for circuit in self.circuits.values_mut() {
             circuit.expire(now, &self.card);
-            let spans = [self.card.tip_after, self.card.warm_within];
-            while circuit.pushes.len() > 1 && now.saturating_sub(circuit.pushes[0].0) > spans[0] {
-                circuit.pushes.pop_front();
+        }
+        let tip_after = self.card.tip_after;
+        for target in self.targets.values_mut() {
+            while target.pushes.len() > 1 && now.saturating_sub(target.pushes[0].0) > tip_after {
+                target.pushes.pop_front();
             }
-            if circuit.trouble.is_some_and(|t| now > t + spans[0] + spans[1]) {
-                circuit.trouble = None;
+            if target.trouble.is_some_and(|t| now > t + tip_after + self.card.warm_within) {
+                target.trouble = None;
             }
         }
         while self.calls.len() < self.card.slots {
@@ -486,7 +497,11 @@
             .iter()
             .filter_map(|id| self.envelopes.get(id).map(|e| (id, e)))
             .filter(|(_, e)| self.key_free(e, now))
-            .map(|(id, e)| ((e.over_share, e.promised_by <= now, e.promised_by, e.arrival), id))
+            .map(|(id, e)| {
+                // What may have run has a receipt that runs out, and goes before that.
+                let late = e.promised_by <= now && e.may_have_run.is_none();
+                ((e.over_share, late, e.promised_by, e.arrival), id)
+            })
             .collect();
         ranked.sort();
         ranked.into_iter().map(|(_, id)| id.clone()).collect()
@@ -512,7 +527,7 @@
         for id in &self.destinations[&destination].targets {
             let Some(t) = self.targets.get(id).filter(|t| t.standing == Standing::Active) else { continue };
             let route = self.route_of(*id, t);
-            match self.admit(route, destination, now) {
+            match self.admit(route, t, now) {
                 Leave::Send => open.insert(*id, (route, false)),
                 Leave::Trial => open.insert(*id, (route, true)),
                 Leave::Hold(until) => {
@@ -552,6 +567,14 @@
             able =
                 open.keys().filter(|t| self.may_go(envelope, **t, &self.targets[*t], now)).copied().collect();
         }
+        // Symptom: one target of a destination fails while others answer, whose success keeps the circuit shut.
+        let rested = |id: &TargetId| {
+            let t = &self.targets[id];
+            now >= t.last_sent + self.card.recovery_delay * t.strikes.min(4)
+        };
+        if able.iter().any(rested) {
+            able.retain(rested);
+        }
         let target = self.choose(&able);
         let (route, trial) = open[&target];
         let kind = self.targets[&target].kind.and_then(|k| self.card.kinds.get(k));
@@ -598,7 +621,7 @@
                 }
             }
             if trial {
-                let recovery_delay = self.recovery_delay(route, self.targets[&target].destination, now);
+                let recovery_delay = self.recovery_delay(&self.targets[&target], now);
                 let circuit = self.circuits.entry(route).or_default();
                 circuit.re_arm(now, recovery_delay);
                 circuit.trial = Some((id.clone(), no));
@@ -609,9 +632,10 @@
         }
         let circuit = self.circuits.entry(route).or_default();
         circuit.calls_out += 1;
-        circuit.pushes.push_back((now, push));
+        circuit.last_sent = now;
         if let Some(t) = self.targets.get_mut(&target) {
             t.calls_out += 1;
+            t.pushes.push_back((now, push));
         }
     }
 }
@@ -792,6 +816,8 @@
             earned: EARNED_FIRST,
             calls_out: 0,
             strikes: 0,
+            trouble: None,
+            pushes: Default::default(),
             last_sent: Duration::ZERO,
         });
         if target.destination != listing.destination {
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,7 +54,11 @@
     /// Credit earned by answers, spent by further dispatches.
     pub earned: f64,
     pub calls_out: u32,
+    /// Failures since its last answer.
     pub strikes: u32,
+    /// Last evidence that it may be down or cold.
+    pub trouble: Option<Duration>,
+    pub pushes: VecDeque<(Duration, f64)>,
     pub last_sent: Duration,
 }
 
@@ -72,9 +76,7 @@
     pub spacing: f64,
     pub spaced_at: Duration,
     pub time_outs: u32,
-    /// Last evidence that the route may be down or cold.
-    pub trouble: Option<Duration>,
-    pub pushes: VecDeque<(Duration, f64)>,
+    pub last_sent: Duration,
     pub calls_out: usize,
     pub mean: Option<f64>,
     pub last_answer: Duration,
