Guess untold waits from told ones, see silence sooner, keep trials short

Cause: a route whose refused calls use up its limit told ever longer waits while calls without a told wait kept coming; a trial of eight seconds hid the return of a hanging destination; silence took five mean response times to be seen.

--- a/src/control.rs
+++ b/src/control.rs
@@ -34,8 +34,10 @@
 const SPACING_SHRINK: f64 = 0.93;
 /// Weight of a new response time in the running mean.
 const MEAN_STEP: f64 = 0.2;
-/// Calls of any route are taken for overdue after this many mean response times.
-const OVERDUE_MEANS: f64 = 5.0;
+/// A route is silent when no answer came for so many mean response times, and for so many more divided by the
+/// calls that are out.
+const OVERDUE_MEANS: f64 = 1.5;
+const OVERDUE_SHARED: f64 = 4.0;
 /// Further dispatches that a target has to its credit at first, at most, and for each answer.
 const EARNED_FIRST: f64 = 2.0;
 const EARNED_MOST: f64 = 5.0;
@@ -248,7 +250,8 @@
     fn push_room(&self, target: &Target, now: Duration) -> Option<Duration> {
         let trouble = target.trouble?;
         let card = &self.card;
-        let warmed = now.saturating_sub(trouble + card.tip_after).as_secs_f64();
+        // The middle of the span that the budget is counted over.
+        let warmed = now.saturating_sub(trouble + card.tip_after / 2).as_secs_f64();
         let share =
             card.cold_from + (1.0 - card.cold_from) * warmed / card.warm_within.as_secs_f64().max(0.001);
         if share >= 1.0 {
@@ -281,10 +284,11 @@
         card.recovery_delay.max(seconds(card.tip_after.as_secs_f64() / trials).min(card.warm_within))
     }
 
-    /// How long answers may stay out before the route counts as silent.
+    /// How long no answer may come before the route counts as silent: the more calls are out, the sooner.
     fn overdue_after(&self, circuit: &Circuit) -> Duration {
-        let mean = circuit.mean.unwrap_or(self.card.recovery_delay.as_secs_f64() / OVERDUE_MEANS);
-        seconds(OVERDUE_MEANS * mean).max(self.card.recovery_delay / 2)
+        let mean = circuit.mean.unwrap_or(self.card.recovery_delay.as_secs_f64() / 2.0);
+        seconds(mean * (OVERDUE_MEANS + OVERDUE_SHARED / circuit.calls_out.max(1) as f64))
+            .max(self.card.recovery_delay / 4)
     }
 
     /// Whether a call may go to the target now.
@@ -362,8 +366,12 @@
                 let silent = now.saturating_sub(circuit.last_answer) >= card.tip_after / 2;
                 all_troubled = circuit.restrained_until.is_some() && silent
                     || wait.is_some_and(|w| w >= card.tip_after * 2);
-                circuit.wait_until = circuit.wait_until.max(now + wait.unwrap_or_default());
-                // Told waits are honest. Calls out together that are refused together count once.
+                // Told waits are honest, and where some are told the others are guessed from them: at a route whose
+                // refused calls use up its limit, each early call makes the wait longer for all.
+                let guess = wait.unwrap_or(circuit.told_wait);
+                circuit.wait_until = circuit.wait_until.max(now + guess);
+                circuit.told_wait = if wait.is_some() { guess } else { guess / 2 };
+                // Calls out together that are refused together count once.
                 if wait.is_none() && sent >= circuit.spaced_at {
                     let first = if lately > 1 {
                         SPACING_GROWTH * card.tip_after.as_secs_f64() / lately as f64
@@ -437,11 +445,12 @@
         let left = envelope.outer_limit.saturating_sub(now);
         let circuit = self.circuits.get(&route);
         let mean = circuit.and_then(|c| c.mean).unwrap_or(0.0);
-        let growth = TIME_OUT_GROWTH.powi(circuit.map_or(0, |c| c.time_outs.min(4)) as i32);
+        let growth = TIME_OUT_GROWTH.powi(circuit.map_or(0, |c| c.time_outs.min(2)) as i32);
         // Cutting off an effectful call loses the envelope, so that it gets twice the time.
         let patience = if category.effect == Effect::Effectful { 2.0 } else { 1.0 };
-        let floor = if trial { self.card.recovery_delay } else { category.promised };
-        seconds((8.0 * mean).max(floor.as_secs_f64()) * patience * growth).min(left)
+        // No second trial goes while one is out, so that a long one would hide the return.
+        let (means, floor) = if trial { (4.0, self.card.recovery_delay) } else { (8.0, category.promised) };
+        seconds((means * mean).max(floor.as_secs_f64()) * patience * growth).min(left)
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -72,6 +72,8 @@
     /// Calls out at once while held envelopes rejoin; none: no such limit.
     pub rejoin: Option<usize>,
     pub wait_until: Duration,
+    /// The last wait that was told, halved with each refusal that told none.
+    pub told_wait: Duration,
     /// Least seconds between calls, learned from refusals.
     pub spacing: f64,
     pub spaced_at: Duration,
