--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -232,7 +232,7 @@
                         kind: entry.at(6).and_then(Value::as_str).unwrap_or_default(),
                     });
                 }
-                forwarder.list_ends(now);
+                forwarder.list_ends();
             }
             other => return Err(format!("Sync: unknown kind {other:?}")),
         },
--- a/src/control.rs
+++ b/src/control.rs
@@ -366,11 +366,12 @@
                 let silent = now.saturating_sub(circuit.last_answer) >= card.tip_after / 2;
                 all_troubled = circuit.restrained_until.is_some() && silent
                     || wait.is_some_and(|w| w >= card.tip_after * 2);
-                // Told waits are honest, and where some are told the others are guessed from them: at a route whose
-                // refused calls use up its limit, each early call makes the wait longer for all.
-                let guess = wait.unwrap_or(circuit.told_wait);
-                circuit.wait_until = circuit.wait_until.max(now + guess);
-                circuit.told_wait = if wait.is_some() { guess } else { guess / 2 };
+                // Where some waits are told, the others are guessed from them: at a route whose refused calls use
+                // up its limit, each early call makes the wait longer for all.
+                if wait.is_none() {
+                    circuit.wait_until = circuit.wait_until.max(now + circuit.told_wait);
+                    circuit.told_wait /= 2;
+                }
                 // Calls out together that are refused together count once.
                 if wait.is_none() && sent >= circuit.spaced_at {
                     let first = if lately > 1 {
@@ -463,6 +464,7 @@
         let mut wake: Option<Duration> = None;
         self.answer_hopeless(now, host, &mut wake);
         self.make_room(now, host);
+        self.keys.retain(|_, line| !line.line.is_empty() || now < line.rest_until);
         for circuit in self.circuits.values_mut() {
             circuit.expire(now, &self.card);
         }
@@ -612,31 +614,22 @@
         self.counter += 1;
         let call = self.counter;
         self.calls.insert(call, going.len() as u32);
+        let recovery_delay = self.recovery_delay(&self.targets[&target], now);
         let push = 1.0 + PUSH_PER_EXTRA * (going.len() - 1) as f64;
         for id in going {
-            let time_out = self.time_out(&self.envelopes[&id], route, trial, now);
-            let Some(envelope) = self.envelopes.get_mut(&id) else { continue };
-            let no = DispatchNo(envelope.dispatches);
-            envelope.dispatches += 1;
-            envelope.out.insert(no);
-            let destination = self.destinations.entry(envelope.destination).or_default();
-            destination.held.retain(|held| *held != id);
-            destination.last_turn = call;
+            let Some(envelope) = self.envelopes.get(&id) else { continue };
+            let time_out = self.time_out(envelope, route, trial, now);
             let further = envelope.may_have_run.is_some();
-            if let Some(t) = self.targets.get_mut(&target) {
-                t.last_sent = now;
-                if further {
-                    t.earned = (t.earned - 1.0).max(0.0);
-                }
+            let then = after_dispatch(id.clone(), target, now);
+            let no = self.begin(&id, Dispatch { target, route, call, sent: now, then });
+            if let Some(t) = self.targets.get_mut(&target).filter(|_| further) {
+                t.earned = (t.earned - 1.0).max(0.0);
             }
             if trial {
-                let recovery_delay = self.recovery_delay(&self.targets[&target], now);
                 let circuit = self.circuits.entry(route).or_default();
                 circuit.re_arm(now, recovery_delay);
                 circuit.trial = Some((id.clone(), no));
             }
-            let then = after_dispatch(id.clone(), target, now);
-            self.dispatches.insert((id.clone(), no), Dispatch { target, route, call, sent: now, then });
             host.dispatch(&id, target, time_out);
         }
         let circuit = self.circuits.entry(route).or_default();
@@ -644,6 +637,7 @@
         circuit.last_sent = now;
         if let Some(t) = self.targets.get_mut(&target) {
             t.calls_out += 1;
+            t.last_sent = now;
             t.pushes.push_back((now, push));
         }
     }
@@ -714,22 +708,8 @@
 
     /// Forgets an envelope that has its final answer, and calls off what is still out for it.
     fn end(&mut self, id: &EnvelopeId, host: &mut dyn Host) {
-        let Some(envelope) = self.envelopes.remove(id) else { return };
-        if let Some(d) = self.destinations.get_mut(&envelope.destination) {
-            d.held.retain(|held| held != id);
-        }
-        for no in &envelope.out {
-            host.call_off(id, *no);
-        }
-        if envelope.out.is_empty() {
-            self.leave_line(envelope.key, id);
-        }
-    }
-
-    fn leave_line(&mut self, key: Option<KeyId>, id: &EnvelopeId) {
-        let Some(key) = key else { return };
-        if let Some(line) = self.keys.get_mut(&key) {
-            line.line.retain(|(_, held)| held != id);
+        for no in self.forget(id) {
+            host.call_off(id, no);
         }
     }
 
@@ -788,70 +768,13 @@
             host.subscribe(true);
         }
         let tenants = card.tenants.iter().map(|_| Tenant { balance: 0.0, since: now }).collect();
-        Forwarder {
-            card,
-            chance,
-            envelopes: BTreeMap::new(),
-            dispatches: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            targets: BTreeMap::new(),
-            destinations: BTreeMap::new(),
-            circuits: BTreeMap::new(),
-            keys: BTreeMap::new(),
-            tenants,
-            telling: None,
-            asked_list: now,
-            counter: 0,
-            wake_at: None,
-        }
-    }
-
-    /// The list of targets is about to be told, whole or only what changed.
-    pub fn list_begins(&mut self, whole: bool) {
-        self.telling = whole.then(Default::default);
+        Forwarder::new(card, chance, tenants, now)
     }
 
+    /// One line of the list of targets, between [`Forwarder::list_begins`] and [`Forwarder::list_ends`].
     pub fn listed(&mut self, listing: Listing) {
-        if let Some(named) = &mut self.telling {
-            named.insert(listing.target);
-        }
         let kind = self.card.kinds.iter().position(|k| k.0 == listing.kind);
-        let target = self.targets.entry(listing.target).or_insert_with(|| Target {
-            destination: listing.destination,
-            standing: listing.standing,
-            weight: None,
-            zone: String::new(),
-            kind,
-            earned: EARNED_FIRST,
-            calls_out: 0,
-            strikes: 0,
-            trouble: None,
-            pushes: Default::default(),
-            last_sent: Duration::ZERO,
-        });
-        if target.destination != listing.destination {
-            if let Some(d) = self.destinations.get_mut(&target.destination) {
-                d.targets.remove(&listing.target);
-            }
-        }
-        target.destination = listing.destination;
-        target.standing = listing.standing;
-        target.weight = listing.weight.filter(|w| w.is_finite() && *w > 0.0);
-        target.zone = listing.zone.to_owned();
-        target.kind = kind;
-        self.destinations.entry(listing.destination).or_default().targets.insert(listing.target);
-    }
-
-    /// The list has been told; what a whole one did not name is gone.
-    pub fn list_ends(&mut self, _now: Duration) {
-        if let Some(named) = self.telling.take() {
-            for (id, target) in self.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                target.standing = Standing::Gone;
-                if let Some(d) = self.destinations.get_mut(&target.destination) {
-                    d.targets.remove(id);
-                }
-            }
-        }
+        self.enter(&listing, kind, EARNED_FIRST);
     }
 
     /// Asking for the list failed; the old one stands.
@@ -886,18 +809,8 @@
         let tenant = tenant.and_then(|t| self.card.tenants.iter().position(|n| n.0 == t));
         let over_share = tenant.is_some_and(|t| self.over_share(t, now));
         self.counter += 1;
-        if let Some(key) = key {
-            self.keys.entry(key).or_default().line.push_back((self.counter, id.clone()));
-        }
-        let d = self.destinations.entry(destination).or_default();
-        if d.arrivals == 0 {
-            d.first_seen = now;
-        }
-        d.arrivals += 1;
-        d.held.push(id.clone());
         let envelope = Envelope {
             category,
-            tenant,
             key,
             destination,
             arrival: self.counter,
@@ -908,7 +821,7 @@
             out: Default::default(),
             may_have_run: None,
         };
-        self.envelopes.insert(id, envelope);
+        self.take(id, envelope, now);
     }
 
     /// Whether a tenant's traffic is over its share now. A forwarder sees its own part only and cannot tell how
@@ -938,46 +851,21 @@
         over: bool,
         host: &mut dyn Host,
     ) {
-        let Some(dispatch) = self.dispatches.remove(&(id.clone(), no)) else { return };
-        if let Some(left) = self.calls.get_mut(&dispatch.call) {
-            *left -= 1;
-            if *left == 0 {
-                self.calls.remove(&dispatch.call);
-                if let Some(c) = self.circuits.get_mut(&dispatch.route) {
-                    c.calls_out = c.calls_out.saturating_sub(1);
-                }
-                if let Some(t) = self.targets.get_mut(&dispatch.target) {
-                    t.calls_out = t.calls_out.saturating_sub(1);
-                }
-            }
+        let Some((dispatch, call_over)) = self.close(id, no) else { return };
+        // Rule 6. Each envelope of a call may be the one that is told to wait.
+        if let (Outcome::Full(Some(wait)), Some(circuit)) = (outcome, self.circuits.get_mut(&dispatch.route))
+        {
+            circuit.wait_until = circuit.wait_until.max(now + wait);
+            circuit.told_wait = wait;
         }
-        if let Some(c) = self.circuits.get_mut(&dispatch.route) {
-            if c.trial.as_ref().is_some_and(|t| t.0 == *id && t.1 == no) {
-                c.trial = None;
-            }
+        // What travels together ends together, and tells its tale once.
+        if call_over {
+            self.learn(dispatch.route, dispatch.target, dispatch.sent, now, outcome);
         }
-        self.learn(dispatch.route, dispatch.target, dispatch.sent, now, outcome);
-        let unsure = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff);
-        let mut others = false;
-        if let Some(envelope) = self.envelopes.get_mut(id) {
-            envelope.out.remove(&no);
-        } else {
-            others = self
-                .dispatches
-                .range((id.clone(), DispatchNo(0))..)
-                .next()
-                .is_some_and(|((i, _), _)| i == id);
-        }
-        for line in self.keys.values_mut() {
-            let Some(arrival) = line.line.iter().find(|(_, i)| i == id).map(|(a, _)| *a) else { continue };
-            if unsure {
-                line.rest_until = now + self.card.key_rest;
-                line.rest_owner = arrival;
-            }
-            if !self.envelopes.contains_key(id) && !others {
-                line.line.retain(|(_, i)| i != id);
-            }
+        if matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff) {
+            self.rest_line(id, now + self.card.key_rest);
         }
+        self.leave_line(id);
         if over {
             self.end(id, host);
         } else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,12 +1,12 @@
-//! Plain state, grouped by how long it lives: for one dispatch, one envelope, one target, the instance.
-//! What is decided with it stands in [`control`](crate::control).
+//! Plain state, grouped by how long it lives: for one dispatch, one envelope, one target, the instance; and the
+//! book-keeping that holds its parts together. What is decided with it stands in [`control`](crate::control).
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use crate::chance::Chance;
 use crate::control::RateCard;
-use crate::host::{DestinationId, DispatchNo, EnvelopeId, Host, KeyId, Outcome, Standing, TargetId};
+use crate::host::{DestinationId, DispatchNo, EnvelopeId, Host, KeyId, Listing, Outcome, Standing, TargetId};
 
 /// What comes next for an envelope once its dispatch has ended; the end is handed to it.
 pub type Next = Box<dyn FnOnce(&mut Forwarder, &mut dyn Host, Duration, Outcome) + Send>;
@@ -31,7 +31,6 @@
 /// Lives from hand-in to the final answer.
 pub struct Envelope {
     pub category: usize,
-    pub tenant: Option<usize>,
     pub key: Option<KeyId>,
     pub destination: DestinationId,
     pub arrival: u64,
@@ -127,3 +126,149 @@
     pub counter: u64,
     pub wake_at: Option<Duration>,
 }
+
+impl Forwarder {
+    pub(crate) fn new(card: RateCard, chance: Chance, tenants: Vec<Tenant>, now: Duration) -> Forwarder {
+        Forwarder {
+            card,
+            chance,
+            envelopes: BTreeMap::new(),
+            dispatches: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            destinations: BTreeMap::new(),
+            circuits: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            tenants,
+            telling: None,
+            asked_list: now,
+            counter: 0,
+            wake_at: None,
+        }
+    }
+
+    /// The list of targets is about to be told, whole or only what changed.
+    pub fn list_begins(&mut self, whole: bool) {
+        self.telling = whole.then(Default::default);
+    }
+
+    /// The list has been told; what a whole one did not name is gone.
+    pub fn list_ends(&mut self) {
+        let Some(named) = self.telling.take() else { return };
+        for (id, target) in self.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
+            target.standing = Standing::Gone;
+            if let Some(d) = self.destinations.get_mut(&target.destination) {
+                d.targets.remove(id);
+            }
+        }
+    }
+
+    pub(crate) fn enter(&mut self, listing: &Listing, kind: Option<usize>, earned: f64) {
+        if let Some(named) = &mut self.telling {
+            named.insert(listing.target);
+        }
+        let target = self.targets.entry(listing.target).or_insert_with(|| Target {
+            destination: listing.destination,
+            standing: listing.standing,
+            weight: None,
+            zone: String::new(),
+            kind,
+            earned,
+            calls_out: 0,
+            strikes: 0,
+            trouble: None,
+            pushes: VecDeque::new(),
+            last_sent: Duration::ZERO,
+        });
+        let before = std::mem::replace(&mut target.destination, listing.destination);
+        target.standing = listing.standing;
+        target.weight = listing.weight.filter(|w| w.is_finite() && *w > 0.0);
+        target.zone = listing.zone.to_owned();
+        target.kind = kind;
+        if let Some(d) = self.destinations.get_mut(&before) {
+            d.targets.remove(&listing.target);
+        }
+        self.destinations.entry(listing.destination).or_default().targets.insert(listing.target);
+    }
+
+    pub(crate) fn take(&mut self, id: EnvelopeId, envelope: Envelope, now: Duration) {
+        if let Some(key) = envelope.key {
+            self.keys.entry(key).or_default().line.push_back((envelope.arrival, id.clone()));
+        }
+        let d = self.destinations.entry(envelope.destination).or_default();
+        if d.arrivals == 0 {
+            d.first_seen = now;
+        }
+        d.arrivals += 1;
+        d.held.push(id.clone());
+        self.envelopes.insert(id, envelope);
+    }
+
+    /// Books a dispatch of a held envelope, which is held no more.
+    pub(crate) fn begin(&mut self, id: &EnvelopeId, dispatch: Dispatch) -> DispatchNo {
+        let mut no = DispatchNo(0);
+        if let Some(envelope) = self.envelopes.get_mut(id) {
+            no = DispatchNo(envelope.dispatches);
+            envelope.dispatches += 1;
+            envelope.out.insert(no);
+            let d = self.destinations.entry(envelope.destination).or_default();
+            d.held.retain(|held| held != id);
+            d.last_turn = dispatch.call;
+        }
+        self.dispatches.insert((id.clone(), no), dispatch);
+        no
+    }
+
+    /// Closes a dispatch; says whether its call is over with it.
+    pub(crate) fn close(&mut self, id: &EnvelopeId, no: DispatchNo) -> Option<(Dispatch, bool)> {
+        let dispatch = self.dispatches.remove(&(id.clone(), no))?;
+        if let Some(envelope) = self.envelopes.get_mut(id) {
+            envelope.out.remove(&no);
+        }
+        let left = self.calls.get_mut(&dispatch.call).map_or(0, |left| {
+            *left -= 1;
+            *left
+        });
+        if left == 0 {
+            self.calls.remove(&dispatch.call);
+            if let Some(t) = self.targets.get_mut(&dispatch.target) {
+                t.calls_out = t.calls_out.saturating_sub(1);
+            }
+        }
+        if let Some(c) = self.circuits.get_mut(&dispatch.route) {
+            c.calls_out = c.calls_out.saturating_sub(usize::from(left == 0));
+            c.trial.take_if(|t| t.0 == *id && t.1 == no);
+        }
+        Some((dispatch, left == 0))
+    }
+
+    /// Drops an envelope that has its final answer; names the dispatches that are still out for it.
+    pub(crate) fn forget(&mut self, id: &EnvelopeId) -> BTreeSet<DispatchNo> {
+        let Some(envelope) = self.envelopes.remove(id) else { return BTreeSet::new() };
+        if let Some(d) = self.destinations.get_mut(&envelope.destination) {
+            d.held.retain(|held| held != id);
+        }
+        self.leave_line(id);
+        envelope.out
+    }
+
+    /// Takes an envelope out of its key's line once it is over and none of its dispatches is out.
+    pub(crate) fn leave_line(&mut self, id: &EnvelopeId) {
+        let mut dispatches = self.dispatches.range((id.clone(), DispatchNo(0))..);
+        if self.keys.is_empty() || dispatches.next().is_some_and(|((i, _), _)| i == id) {
+            return;
+        }
+        if !self.envelopes.contains_key(id) {
+            self.keys.values_mut().for_each(|l| l.line.retain(|(_, i)| i != id));
+        }
+    }
+
+    /// Lets the key of an envelope rest for those behind it.
+    pub(crate) fn rest_line(&mut self, id: &EnvelopeId, until: Duration) {
+        for line in self.keys.values_mut() {
+            if let Some((arrival, _)) = line.line.iter().find(|(_, i)| i == id) {
+                (line.rest_until, line.rest_owner) = (until, *arrival);
+            }
+        }
+    }
+}
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -109,7 +109,7 @@
             let listing = Listing { target, destination, standing, weight: Some(6.0), zone: "z", kind };
             self.forwarder.listed(listing);
         }
-        self.forwarder.list_ends(self.now);
+        self.forwarder.list_ends();
     }
 
     pub fn hand_in(&mut self, name: &str, category: &str, destination: u64) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -83,6 +83,18 @@
     assert_eq!(story.after(ms(0)), [Asked::Shed("a".into(), Some(ms(3000)))]);
 }
 
+#[test]
+fn a_wait_told_to_the_first_of_a_call_is_kept_though_its_last_was_told_none() {
+    let mut story = Story::with(&[(1, 9, "batch")]);
+    for name in ["a", "b"] {
+        story.hand_in(name, "note", 9);
+    }
+    assert_eq!(story.sent_after(ms(0)).len(), 2);
+    story.ends("a", 0, Outcome::Full(Some(ms(2500))));
+    story.ends("b", 0, Outcome::Full(None));
+    assert!(story.sent_after(ms(2490)).is_empty());
+}
+
 #[test]
 fn a_wait_at_one_of_the_routes_apart_leaves_the_other_open() {
     let mut story = Story::with(&[(1, 9, "apart"), (2, 9, "apart")]);
