--- a/src/control.rs
+++ b/src/control.rs
@@ -297,8 +297,17 @@
         if now < circuit.wait_until {
             return Leave::Hold(Some(circuit.wait_until));
         }
+        // Symptom: calls are refused as over a limit, which refused calls, trials too, may use up as well. Also
+        // covers full queues. It can harm by staying slow for some answers after a limit was felt only once.
+        let spaced = circuit.last_sent + seconds(circuit.spacing);
         let leave = circuit.deliver(now);
-        if leave != Leave::Send {
+        if matches!(leave, Leave::Hold(_)) {
+            return leave;
+        }
+        if now < spaced {
+            return Leave::Hold(Some(spaced));
+        }
+        if leave == Leave::Trial {
             return leave;
         }
         if circuit.rejoin.is_some_and(|calls| circuit.calls_out >= calls) {
@@ -314,12 +323,6 @@
                 return Leave::Hold(None);
             }
         }
-        // Symptom: calls are refused as over a limit, which refused calls may use up as well. Also covers full
-        // queues. It can harm by staying slow for some answers after a limit was felt only once.
-        let spaced = circuit.last_sent + seconds(circuit.spacing);
-        if now < spaced {
-            return Leave::Hold(Some(spaced));
-        }
         match self.push_room(target, now) {
             Some(at) => Leave::Hold(Some(at)),
             None => Leave::Send,
@@ -348,8 +351,9 @@
                 // Whatever the route's targets showed before, they have only now come back.
                 all_troubled = circuit.restrained_until.is_some();
                 circuit.success(now);
-                circuit.spacing *= SPACING_SHRINK;
+                circuit.spacing = (circuit.spacing * SPACING_SHRINK).min(card.forwarders / LEAST_CAPACITY);
                 circuit.time_outs = 0;
+                circuit.told_wait /= 2;
                 circuit.last_answer = now;
                 let took = now.saturating_sub(sent).as_secs_f64();
                 let mean = circuit.mean.unwrap_or(took);
@@ -370,7 +374,6 @@
                 // up its limit, each early call makes the wait longer for all.
                 if wait.is_none() {
                     circuit.wait_until = circuit.wait_until.max(now + circuit.told_wait);
-                    circuit.told_wait /= 2;
                 }
                 // Calls out together that are refused together count once.
                 if wait.is_none() && sent >= circuit.spaced_at {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -95,6 +95,18 @@
     assert!(story.sent_after(ms(2490)).is_empty());
 }
 
+#[test]
+fn a_wait_once_told_is_guessed_for_refusals_that_tell_none() {
+    let mut story = Story::with(ONE);
+    story.hand_in("a", "note", 9);
+    story.after(ms(0));
+    story.ends("a", 0, Outcome::Full(Some(ms(1200))));
+    assert_eq!(story.sent_after(ms(1200)), ["a"]);
+    story.ends("a", 1, Outcome::Full(None));
+    assert!(story.sent_after(ms(1190)).is_empty());
+    assert_eq!(story.sent_after(ms(1200)), ["a"]);
+}
+
 #[test]
 fn a_wait_at_one_of_the_routes_apart_leaves_the_other_open() {
     let mut story = Story::with(&[(1, 9, "apart"), (2, 9, "apart")]);
