With all slots out, call off the most overdue call that may run again

Cause: calls to silent destinations hold every slot of a forwarder until they time out, while answering ones wait.

--- a/src/control.rs
+++ b/src/control.rs
@@ -493,6 +493,9 @@
                 break;
             }
         }
+        if self.calls.len() >= self.card.slots {
+            self.free_slot(now, host, &mut wake);
+        }
         if let Some(at) = wake {
             let at = at.max(now + Duration::from_millis(1));
             if self.wake_at.is_none_or(|pending| pending <= now || at < pending) {
@@ -502,6 +505,49 @@
         }
     }
 
+    /// Symptom: every slot is out, some with calls to silent routes, while others could send. The call that is
+    /// most overdue is called off, the more readily as it may run again elsewhere. Covers hanging, silent and
+    /// very slow destinations; it can harm by repeating work that would still have been answered.
+    fn free_slot(&mut self, now: Duration, host: &mut dyn Host, wake: &mut Option<Duration>) {
+        // Newest answer of a route that an envelope waits to go to; where all are slow alike, none is called off.
+        let mut lively = Duration::ZERO;
+        for (id, d) in self.destinations.iter().filter(|(_, d)| !d.held.is_empty()) {
+            for target in &d.targets {
+                let t = &self.targets[target];
+                let route = self.route_of(*target, t);
+                let Some(circuit) = self.circuits.get(&route) else { continue };
+                let open = t.standing == Standing::Active && self.admit(route, t, now) == Leave::Send;
+                if open && circuit.last_answer > lively && !self.ranked(*id, now).is_empty() {
+                    lively = circuit.last_answer;
+                }
+            }
+        }
+        let mut worst: Option<(f64, (EnvelopeId, DispatchNo))> = None;
+        for (key, d) in self.dispatches.iter().filter(|(_, d)| !d.called_off && d.sent < lively) {
+            let Some(circuit) = self.circuits.get(&d.route).filter(|c| c.last_answer <= d.sent) else {
+                continue;
+            };
+            let Some(envelope) = self.envelopes.get(&key.0) else { continue };
+            if self.card.categories[envelope.category].effect == Effect::Effectful {
+                continue;
+            }
+            let allowed = self.overdue_after(circuit);
+            let age = now.saturating_sub(d.sent);
+            let ratio = age.as_secs_f64() / allowed.as_secs_f64();
+            if ratio < 1.0 {
+                sooner(wake, Some(d.sent + allowed));
+            } else if worst.as_ref().is_none_or(|w| ratio > w.0) {
+                worst = Some((ratio, key.clone()));
+            }
+        }
+        let Some((_, key)) = worst else { return };
+        let call = self.dispatches[&key].call;
+        for ((id, no), d) in self.dispatches.iter_mut().filter(|(_, d)| d.call == call) {
+            d.called_off = true;
+            host.call_off(id, *no);
+        }
+    }
+
     /// Held envelopes of a destination, the one that should go first in front: inside its share before beyond
     /// it, able to keep its promised time before late, then by promised time.
     fn ranked(&self, destination: DestinationId, now: Duration) -> Vec<EnvelopeId> {
@@ -624,7 +670,7 @@
             let time_out = self.time_out(envelope, route, trial, now);
             let further = envelope.may_have_run.is_some();
             let then = after_dispatch(id.clone(), target, now);
-            let no = self.begin(&id, Dispatch { target, route, call, sent: now, then });
+            let no = self.begin(&id, Dispatch { target, route, call, sent: now, called_off: false, then });
             if let Some(t) = self.targets.get_mut(&target).filter(|_| further) {
                 t.earned = (t.earned - 1.0).max(0.0);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,8 @@
     pub route: Route,
     pub call: u64,
     pub sent: Duration,
+    /// Called off by this forwarder, as overdue.
+    pub called_off: bool,
     pub then: Next,
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -167,6 +167,29 @@
     assert_eq!(story.sent_after(ms(0)), ["other"]);
 }
 
+#[test]
+fn with_all_slots_out_an_overdue_call_gives_way_to_a_destination_that_answers() {
+    let mut story = Story::with(&[(1, 9, "apart"), (2, 9, "apart"), (3, 8, "shared")]);
+    for (n, category) in ["note", "order", "note", "order", "note", "order", "note"].iter().enumerate() {
+        story.hand_in(&format!("silent{n}"), category, 9);
+    }
+    story.hand_in("quick", "note", 8);
+    assert_eq!(story.sent_after(ms(0)).len(), 8, "all slots");
+    story.after(ms(200));
+    story.ends("quick", 0, Outcome::Completed);
+    for n in 0..4 {
+        story.hand_in(&format!("next{n}"), "note", 8);
+    }
+    story.after(ms(0));
+    story.ends("next0", 0, Outcome::Completed);
+    let asked = story.after(ms(3000));
+    let called_off = |a: &Asked| matches!(a, Asked::CalledOff(id, _) if id.starts_with("silent"));
+    assert!(asked.iter().any(called_off), "{asked:?}");
+    let effectful =
+        |a: &Asked| matches!(a, Asked::CalledOff(id, _) if ["silent1", "silent3"].contains(&&**id));
+    assert!(!asked.iter().any(effectful), "calling off an effectful one would lose it");
+}
+
 #[test]
 fn with_no_room_left_the_one_with_least_to_hope_for_goes_first() {
     let mut story = Story::with(&[]);
