--- a/src/control.rs
+++ b/src/control.rs
@@ -71,7 +71,6 @@
     come_back: Option<Duration>,
     window: Duration,
     recovery_delay: Duration,
-    record_life: Duration,
     cold_from: f64,
     warm_within: Duration,
     fall_multiple: f64,
@@ -118,7 +117,6 @@
             come_back: terms.come_back,
             window,
             recovery_delay,
-            record_life: recovery_delay.max(window) + RECORD_MARGIN,
             cold_from: finite(terms.cold_from, 0.2).clamp(0.01, 1.0),
             warm_within: terms.warm_within.unwrap_or(Duration::from_secs(10)),
             fall_multiple: finite(terms.fall_multiple, 2.0).max(0.1),
@@ -185,7 +183,8 @@
         self.failures.push(now);
         prune(&mut self.failures, now, card.window);
         if self.restrained_until.is_some() || tripped(&self.failures, card.window) {
-            self.restrained_until = Some(now + recovery_delay);
+            // Never sooner than a wait that was told.
+            self.restrained_until = self.restrained_until.max(Some(now + recovery_delay));
         }
         self.last_write = now;
     }
@@ -202,9 +201,11 @@
         self.last_write = now;
     }
 
-    /// The design's expiry: a record that can no longer matter is as good as none.
+    /// The design's expiry, derived: a record that can no longer matter is as good as none. With one recovery delay
+    /// for all it is max(delay, window) + margin after the last write; a told wait may make the delay longer.
     fn expire(&mut self, now: Duration, card: &RateCard) {
-        if self.trial.is_none() && now.saturating_sub(self.last_write) > card.record_life {
+        let matters = self.restrained_until.unwrap_or_default().max(self.last_write + card.window);
+        if self.trial.is_none() && now > matters + RECORD_MARGIN {
             self.failures.clear();
             self.restrained_until = None;
         }
@@ -247,29 +248,29 @@
     /// Guard for rule 4. Symptom: a target that failed calls, or refused all, may be on its way back, and cold.
     /// Also covers one that fails on part of its calls. It can harm one that was never cold, by pacing it for
     /// some seconds after a time-out.
-    fn push_room(&self, target: &Target, now: Duration) -> Option<Duration> {
-        let trouble = target.trouble?;
+    fn push_room(&self, target: &Target, now: Duration) -> Result<f64, Duration> {
+        let Some(trouble) = target.trouble else { return Ok(f64::MAX) };
         let card = &self.card;
         // The middle of the span that the budget is counted over.
         let warmed = now.saturating_sub(trouble + card.tip_after / 2).as_secs_f64();
         let share =
             card.cold_from + (1.0 - card.cold_from) * warmed / card.warm_within.as_secs_f64().max(0.001);
         if share >= 1.0 {
-            return None;
+            return Ok(f64::MAX);
         }
         let per_second = PUSH_OF_USUAL * card.fall_multiple * share * self.usual_rate(target, now);
         let budget = per_second * card.tip_after.as_secs_f64();
         if budget < 1.0 {
             // Less than one call for each span is this forwarder's part.
-            let last = target.pushes.back()?.0 + seconds(1.0 / per_second.max(0.01));
-            return (now < last).then_some(last);
+            let next = target.pushes.back().map(|p| p.0 + seconds(p.1 / per_second.max(0.01)));
+            return next.filter(|at| now < *at).map_or(Ok(1.0), Err);
         }
         let mut recent = target.pushes.iter().filter(|p| now.saturating_sub(p.0) < card.tip_after);
-        let spent: f64 = recent.clone().map(|p| p.1).sum();
-        if spent + 1.0 <= budget {
-            return None;
+        let left = budget - recent.clone().map(|p| p.1).sum::<f64>();
+        match recent.next() {
+            Some(oldest) if left < 1.0 => Err(oldest.0 + card.tip_after),
+            _ => Ok(left.max(1.0)),
         }
-        recent.next().map(|p| p.0 + card.tip_after)
     }
 
     /// The design's delay for a route. Every forwarder sends a trial of its own, and the first ones after a
@@ -324,8 +325,8 @@
             }
         }
         match self.push_room(target, now) {
-            Some(at) => Leave::Hold(Some(at)),
-            None => Leave::Send,
+            Err(at) => Leave::Hold(Some(at)),
+            Ok(_) => Leave::Send,
         }
     }
 
@@ -333,7 +334,6 @@
     fn learn(&mut self, route: Route, id: TargetId, sent: Duration, now: Duration, outcome: Outcome) {
         let Some(target) = self.targets.get(&id) else { return };
         let recovery_delay = self.recovery_delay(target, now);
-        let destination = target.destination;
         // Calls that this forwarder has sent to the route of late.
         let alike = |(t, at): &(&TargetId, &Target)| match route {
             Route::Apart(own) => **t == own,
@@ -402,7 +402,11 @@
             }
         }
         if all_troubled {
-            for t in self.targets.values_mut().filter(|t| t.destination == destination) {
+            let of_route = |(t, at): &(&TargetId, &mut Target)| match route {
+                Route::Apart(own) => **t == own,
+                Route::Shared(own) => at.destination == own,
+            };
+            for (_, t) in self.targets.iter_mut().filter(of_route) {
                 t.trouble = Some(now);
             }
         }
@@ -638,7 +642,10 @@
         let target = self.choose(&able);
         let (route, trial) = open[&target];
         let kind = self.targets[&target].kind.and_then(|k| self.card.kinds.get(k));
-        let batch = if trial { 1 } else { kind.map_or(1, |k| k.2) };
+        // Many envelopes in one call push a cold target more than one does.
+        let room = self.push_room(&self.targets[&target], now).unwrap_or(1.0);
+        let fits = 1.0 + (room - 1.0) / PUSH_PER_EXTRA;
+        let batch = if trial { 1 } else { kind.map_or(1, |k| k.2).min(fits as usize) };
         let lead = lead.clone();
         let mut going = vec![lead.clone()];
         for id in ranked.iter().filter(|id| **id != lead).take(batch - 1) {
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -77,6 +77,7 @@
             ("shared".into(), false, Some(1)),
             ("apart".into(), true, Some(1)),
             ("batch".into(), false, Some(4)),
+            ("wide".into(), false, Some(40)),
         ],
         slots: Some(8),
         room: Some(50),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -109,15 +109,20 @@
 
 #[test]
 fn a_long_wait_ends_with_one_trial_and_not_with_all_that_was_held() {
-    let mut story = Story::with(ONE);
+    let mut story = Story::with(&[(1, 9, "wide")]);
     story.hand_in("a", "note", 9);
     story.after(ms(0));
-    story.ends("a", 0, Outcome::Full(Some(ms(6000))));
-    for n in 0..20 {
+    story.ends("a", 0, Outcome::Full(Some(ms(19_000))));
+    story.after(ms(17_000));
+    for n in 0..40 {
         story.hand_in(&format!("e{n}"), "note", 9);
     }
-    assert!(story.sent_after(ms(5990)).is_empty());
-    assert_eq!(story.sent_after(ms(10)).len(), 1);
+    assert!(story.sent_after(ms(1990)).is_empty(), "nor does the record expire before the wait has ended");
+    let trial = story.sent_after(ms(10));
+    assert_eq!(trial.len(), 1);
+    story.now += ms(100);
+    story.ends(&trial[0], 1, Outcome::Completed);
+    assert!(story.sent_after(ms(0)).len() < 30, "a full call of many would push a cold destination over");
 }
 
 #[test]
