--- a/src/control.rs
+++ b/src/control.rs
@@ -78,6 +78,7 @@
     key_rest: Duration,
     ask_within: Option<Duration>,
     weights_are_rates: bool,
+    zones_priced: bool,
 }
 
 impl RateCard {
@@ -124,6 +125,7 @@
             key_rest: terms.key_rest.unwrap_or_default(),
             ask_within: terms.ask_within,
             weights_are_rates: terms.weights_are_rates,
+            zones_priced: finite(terms.cross_zone_price, 0.0) > 0.0,
         }
     }
 }
@@ -435,7 +437,11 @@
 
     /// Two drawn at random, the one that the forwarder's own counts favour is taken.
     fn choose(&mut self, able: &[TargetId]) -> TargetId {
-        let a = able[self.chance.below(able.len())];
+        // Departure: the first draw is from the own zone, where calls across zones have a price.
+        let near: Vec<TargetId> =
+            able.iter().copied().filter(|t| self.targets[t].zone == self.card.zone).collect();
+        let first = if near.is_empty() || !self.card.zones_priced { able } else { &near[..] };
+        let a = first[self.chance.below(first.len())];
         let b = able[self.chance.below(able.len())];
         let burden = |id: TargetId| {
             let t = &self.targets[&id];
