Within a destination the category with more credit goes first

Cause: where a destination can't take all, envelopes of one and of two credits were sent alike. Conclusion: small, kept; it could starve a category of little credit in a long overload.

--- a/src/control.rs
+++ b/src/control.rs
@@ -56,6 +56,8 @@
     promised: Duration,
     outer_limit: Duration,
     ordered: bool,
+    /// Categories by falling credit; those of equal credit share a place.
+    place: usize,
 }
 
 /// What is derived from the terms at start. The terms themselves are not kept.
@@ -83,6 +85,7 @@
 
 impl RateCard {
     fn derive(terms: Terms) -> RateCard {
+        let credits: Vec<f64> = terms.categories.iter().map(|c| finite(c.credit, 1.0)).collect();
         let categories: Vec<CategoryRate> = terms
             .categories
             .into_iter()
@@ -95,6 +98,7 @@
                     promised: c.promised.unwrap_or(outer_limit).min(outer_limit),
                     outer_limit,
                     ordered: c.ordered,
+                    place: credits.iter().filter(|other| **other > finite(c.credit, 1.0)).count(),
                 }
             })
             .collect();
@@ -570,7 +574,7 @@
             .map(|(id, e)| {
                 // What may have run has a receipt that runs out, and goes before that.
                 let late = e.promised_by <= now && e.may_have_run.is_none();
-                ((e.over_share, late, e.promised_by, e.arrival), id)
+                ((e.over_share, late, self.card.categories[e.category].place, e.promised_by, e.arrival), id)
             })
             .collect();
         ranked.sort();
