Space small push budgets instead of counting whole calls

Cause: a returning destination's budget of 1.9 calls in a span was used as one, so that its backlog outlived its limit.

--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,8 @@
 /// What may be pushed, against the budget read from usual traffic. Over 1, as a destination is built for more
 /// than its usual traffic. Measured at 0.75, 1.1 and 1.5: faster returns each time, no rule broken by it.
 const PUSH_OF_USUAL: f64 = 1.5;
+/// Calls in a span under which a push budget is kept by spacing them and not by counting.
+const SPACED_BUDGET: f64 = 4.0;
 /// Weight of one more envelope within a call, against the call itself.
 const PUSH_PER_EXTRA: f64 = 0.25;
 /// Envelopes a second that the smallest destination is taken to be built for, where nothing else is known.
@@ -266,10 +268,10 @@
         }
         let per_second = PUSH_OF_USUAL * card.fall_multiple * share * self.usual_rate(target, now);
         let budget = per_second * card.tip_after.as_secs_f64();
-        if budget < 1.0 {
-            // Less than one call for each span is this forwarder's part.
+        if budget < SPACED_BUDGET {
+            // So few calls for each span are this forwarder's part that whole ones would waste much of it.
             let next = target.pushes.back().map(|p| p.0 + seconds(p.1 / per_second.max(0.01)));
-            return next.filter(|at| now < *at).map_or(Ok(1.0), Err);
+            return next.filter(|at| now < *at).map_or(Ok(budget.max(1.0)), Err);
         }
         let mut recent = target.pushes.iter().filter(|p| now.saturating_sub(p.0) < card.tip_after);
         let left = budget - recent.clone().map(|p| p.1).sum::<f64>();
