--- a/src/control.rs
+++ b/src/control.rs
@@ -370,6 +370,7 @@
                     circuit.rejoin = None;
                 }
                 target.strikes = 0;
+                target.unreachable = None;
                 target.earned = (target.earned + EARNED_PER_ANSWER).min(EARNED_MOST);
             }
             Outcome::Full(wait) => {
@@ -400,7 +401,10 @@
                 target.strikes += 1;
                 match failure {
                     // No connection was made: the call never reached the destination, and pushed nothing.
-                    Outcome::NoConnection => drop(target.pushes.pop_back()),
+                    Outcome::NoConnection => {
+                        target.pushes.pop_back();
+                        target.unreachable = Some(now);
+                    }
                     Outcome::TimedOut => circuit.time_outs += 1,
                     _ => {}
                 }
@@ -544,7 +548,10 @@
                 continue;
             };
             let Some(envelope) = self.envelopes.get(&key.0) else { continue };
-            if self.card.categories[envelope.category].effect == Effect::Effectful {
+            // Calling off an effectful one loses it, so that it takes a target that can't be reached any more.
+            let unreachable = self.targets.get(&d.target).and_then(|t| t.unreachable);
+            let effectful = self.card.categories[envelope.category].effect == Effect::Effectful;
+            if effectful && unreachable.is_none_or(|since| since < d.sent) {
                 continue;
             }
             let allowed = self.overdue_after(circuit);
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,6 +57,8 @@
     pub calls_out: u32,
     /// Failures since its last answer.
     pub strikes: u32,
+    /// When a connection to it failed, if it has not answered since.
+    pub unreachable: Option<Duration>,
     /// Last evidence that it may be down or cold.
     pub trouble: Option<Duration>,
     pub pushes: VecDeque<(Duration, f64)>,
@@ -178,6 +180,7 @@
             earned,
             calls_out: 0,
             strikes: 0,
+            unreachable: None,
             trouble: None,
             pushes: VecDeque::new(),
             last_sent: Duration::ZERO,
