--- a/src/control.rs
+++ b/src/control.rs
@@ -342,22 +342,24 @@
     fn learn(&mut self, route: Route, id: TargetId, sent: Duration, now: Duration, outcome: Outcome) {
         let Some(target) = self.targets.get(&id) else { return };
         let recovery_delay = self.recovery_delay(target, now);
-        // Calls that this forwarder has sent to the route of late.
         let alike = |(t, at): &(&TargetId, &Target)| match route {
             Route::Apart(own) => **t == own,
             Route::Shared(own) => at.destination == own,
         };
+        let of_route: Vec<_> = self.targets.iter().filter(alike).map(|(t, at)| (*t, at.trouble)).collect();
+        let troubled = of_route.iter().any(|(_, trouble)| trouble.is_some());
+        // Calls that this forwarder has sent to the route of late.
         let lately = self.targets.iter().filter(alike).flat_map(|(_, t)| &t.pushes);
         let lately = lately.filter(|p| now.saturating_sub(p.0) < self.card.tip_after).count();
         let card = &self.card;
         let circuit = self.circuits.entry(route).or_default();
         let Some(target) = self.targets.get_mut(&id) else { return };
-        let mut all_troubled = false;
+        let (mut all_troubled, mut until) = (false, now);
         match outcome {
             Outcome::CalledOff | Outcome::Unsent => return,
             Outcome::Completed => {
                 // Whatever the route's targets showed before, they have only now come back.
-                all_troubled = circuit.restrained_until.is_some();
+                all_troubled = circuit.restrained_until.is_some() && troubled;
                 circuit.success(now);
                 circuit.spacing = (circuit.spacing * SPACING_SHRINK).min(card.forwarders / LEAST_CAPACITY);
                 circuit.time_outs = 0;
@@ -375,10 +377,12 @@
             }
             Outcome::Full(wait) => {
                 circuit.fail(now, recovery_delay, card);
-                // A limit lets some calls through; one that refuses all for long, or says so, is shut.
+                // A limit lets some calls through, or tells a short wait; what refuses all for long, or says so, is
+                // shut.
                 let silent = now.saturating_sub(circuit.last_answer) >= card.tip_after / 2;
-                all_troubled =
-                    circuit.restrained_until.is_some() && silent || wait.is_some_and(|w| w >= card.tip_after);
+                let refuses_all = circuit.restrained_until.is_some() && silent;
+                all_troubled = wait.map_or(refuses_all, |w| w >= card.tip_after);
+                until = now + wait.unwrap_or_default();
                 // Where some waits are told, the others are guessed from them: at a route whose refused calls use
                 // up its limit, each early call makes the wait longer for all.
                 if wait.is_none() {
@@ -414,12 +418,10 @@
             }
         }
         if all_troubled {
-            let of_route = |(t, at): &(&TargetId, &mut Target)| match route {
-                Route::Apart(own) => **t == own,
-                Route::Shared(own) => at.destination == own,
-            };
-            for (_, t) in self.targets.iter_mut().filter(of_route) {
-                t.trouble = Some(now);
+            for (id, _) in of_route {
+                if let Some(t) = self.targets.get_mut(&id) {
+                    t.trouble = Some(until);
+                }
             }
         }
     }
