--- a/src/control.rs
+++ b/src/control.rs
@@ -319,15 +319,20 @@
         if leave == Leave::Trial {
             return leave;
         }
-        if circuit.rejoin.is_some_and(|calls| circuit.calls_out >= calls) {
+        // Calls that nothing has answered since. Of those from before an answer, which hang or are long, none
+        // holds back what rejoins.
+        let out = || self.dispatches.values().filter(|d| d.route == route);
+        let mut calls: Vec<u64> = out().filter(|d| d.sent >= circuit.last_answer).map(|d| d.call).collect();
+        calls.sort();
+        calls.dedup();
+        if circuit.rejoin.is_some_and(|most| calls.len() >= most) {
             return Leave::Hold(None);
         }
         // Symptom: calls are out and none has been answered for long. Against a silent or hanging destination
         // that takes all slots before its first time-out; also covers stalls and slowdowns, which it paces by
         // their own answers. It can harm by waiting behind one very long piece of work, hence two calls.
-        if circuit.calls_out >= 2 {
-            let oldest = self.dispatches.values().filter(|d| d.route == route).map(|d| d.sent).min();
-            let since = oldest.unwrap_or(now).max(circuit.last_answer);
+        if circuit.calls_out >= 2 && !calls.is_empty() {
+            let since = out().map(|d| d.sent).min().unwrap_or(now).max(circuit.last_answer);
             if now.saturating_sub(since) > self.overdue_after(circuit) {
                 return Leave::Hold(None);
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -40,6 +40,23 @@
     assert!(story.sent_after(ms(1)).len() <= 1);
 }
 
+#[test]
+fn a_call_that_hangs_from_before_the_return_does_not_hold_back_what_rejoins() {
+    let mut story = Story::with(ONE);
+    for name in ["stuck", "a", "b", "c"] {
+        story.hand_in(name, "order", 9);
+    }
+    story.after(ms(0));
+    for name in ["a", "b", "c"] {
+        story.ends(name, 0, Outcome::NoConnection);
+    }
+    let trial = story.sent_after(ms(1100));
+    assert_eq!(trial.len(), 1);
+    story.now += ms(100);
+    story.ends(&trial[0], 1, Outcome::Completed);
+    assert_eq!(story.sent_after(ms(0)).len(), 1, "though one is still out");
+}
+
 #[test]
 fn an_effectful_envelope_that_may_have_run_is_broken_off() {
     for unsure in [Outcome::TimedOut, Outcome::Broken, Outcome::CalledOff, Outcome::Error] {
