Never space calls wider than half of the usual traffic

Cause: one refusal at a large partner's return spaced its calls a second apart, an eighth of its usual pace.

--- a/src/control.rs
+++ b/src/control.rs
@@ -352,6 +352,10 @@
             Route::Shared(own) => at.destination == own,
         };
         let of_route: Vec<_> = self.targets.iter().filter(alike).map(|(t, at)| (*t, at.trouble)).collect();
+        // A route takes at least half of what it is usually sent, in so many calls or in fewer and fuller ones.
+        let batch = target.kind.and_then(|k| self.card.kinds.get(k)).map_or(1, |k| k.2);
+        let usual = self.usual_rate(target, now) * of_route.len() as f64 / batch as f64;
+        let most = (self.card.forwarders / LEAST_CAPACITY).min(2.0 / usual.max(0.01));
         let troubled = of_route.iter().any(|(_, trouble)| trouble.is_some());
         // Calls that this forwarder has sent to the route of late.
         let lately = self.targets.iter().filter(alike).flat_map(|(_, t)| &t.pushes);
@@ -366,7 +370,7 @@
                 // Whatever the route's targets showed before, they have only now come back.
                 all_troubled = circuit.restrained_until.is_some() && troubled;
                 circuit.success(now);
-                circuit.spacing = (circuit.spacing * SPACING_SHRINK).min(card.forwarders / LEAST_CAPACITY);
+                circuit.spacing *= SPACING_SHRINK;
                 circuit.time_outs = 0;
                 circuit.told_wait /= 2;
                 circuit.last_answer = now;
@@ -400,7 +404,6 @@
                     } else {
                         card.recovery_delay.as_secs_f64() / 8.0
                     };
-                    let most = card.forwarders / LEAST_CAPACITY;
                     circuit.spacing = (circuit.spacing * SPACING_GROWTH).max(first).min(most);
                     circuit.spaced_at = now;
                 }
