Try a restrained route as soon as it is due, though other routes are open

Cause: where a destination's targets are routes apart, a restrained one was tried only once every other one was closed, so that its return was found late. The design sends the trial when the delay is over. It costs a pure envelope a time-out now and then while a route is silent.

--- a/src/control.rs
+++ b/src/control.rs
@@ -633,33 +633,22 @@
             return false;
         }
         let ranked = self.ranked(destination, now);
-        // A trial may be lost, so that one goes with an envelope that may run again, if there is any.
-        let trials_only = open.values().all(|o| o.1);
-        let lead = ranked.iter().filter(|id| {
-            let e = &self.envelopes[*id];
-            open.keys().any(|t| self.may_go(e, *t, &self.targets[t], now))
-        });
+        let able = |id: &EnvelopeId, trial: bool| -> Vec<TargetId> {
+            let to = |t: &TargetId| self.may_go(&self.envelopes[id], *t, &self.targets[t], now);
+            open.iter().filter(|(t, o)| o.1 == trial && to(t)).map(|(t, _)| *t).collect()
+        };
         let repeatable =
             |id: &&EnvelopeId| self.card.categories[self.envelopes[*id].category].effect != Effect::Effectful;
-        let lead = if trials_only {
-            lead.clone().find(repeatable).or(lead.clone().next())
-        } else {
-            lead.clone().next()
-        };
+        // A trial may be lost, so that one goes with an envelope that may run again, if there is any.
+        let lead = (ranked.iter().filter(repeatable).find(|id| !able(id, true).is_empty()))
+            .or_else(|| ranked.iter().find(|id| !able(id, false).is_empty()))
+            .or_else(|| ranked.iter().find(|id| !able(id, true).is_empty()));
         let Some(lead) = lead else {
             sooner(wake, Some(now + self.card.recovery_delay / 4));
             return false;
         };
-        let envelope = &self.envelopes[lead];
-        let mut able: Vec<TargetId> = open
-            .iter()
-            .filter(|(t, o)| (trials_only || !o.1) && self.may_go(envelope, **t, &self.targets[*t], now))
-            .map(|(t, _)| *t)
-            .collect();
-        if able.is_empty() {
-            able =
-                open.keys().filter(|t| self.may_go(envelope, **t, &self.targets[*t], now)).copied().collect();
-        }
+        let trial = repeatable(&lead) && !able(lead, true).is_empty() || able(lead, false).is_empty();
+        let mut able = able(lead, trial);
         // Symptom: one target of a destination fails while others answer, whose success keeps the circuit shut.
         let rested = |id: &TargetId| {
             let t = &self.targets[id];
@@ -669,7 +658,7 @@
             able.retain(rested);
         }
         let target = self.choose(&able);
-        let (route, trial) = open[&target];
+        let route = open[&target].0;
         let kind = self.targets[&target].kind.and_then(|k| self.card.kinds.get(k));
         // Many envelopes in one call push a cold target more than one does.
         let room = self.push_room(&self.targets[&target], now).unwrap_or(1.0);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -57,6 +57,25 @@
     assert_eq!(story.sent_after(ms(0)).len(), 1, "though one is still out");
 }
 
+#[test]
+fn a_restrained_route_is_tried_when_due_though_another_route_is_open() {
+    let mut story = Story::with(&[(1, 9, "apart"), (2, 9, "apart")]);
+    let (mut to_one, mut n) = (0, 0);
+    while to_one < 3 {
+        n += 1;
+        let name = format!("e{n}");
+        story.hand_in(&name, "note", 9);
+        while let Some(Asked::Sent(_, to, _)) = story.after(ms(0)).pop() {
+            to_one += u32::from(to == 1);
+            let no = story.forwarder.envelopes[&id(&name)].dispatches - 1;
+            story.ends(&name, no, if to == 1 { Outcome::NoConnection } else { Outcome::Completed });
+        }
+        story.now += ms(50);
+    }
+    story.hand_in("late", "note", 9);
+    assert!(matches!(story.after(ms(3000))[..], [Asked::Sent(_, 1, _)]));
+}
+
 #[test]
 fn an_effectful_envelope_that_may_have_run_is_broken_off() {
     for unsure in [Outcome::TimedOut, Outcome::Broken, Outcome::CalledOff, Outcome::Error] {
