--- a/src/control.rs
+++ b/src/control.rs
@@ -1,9 +1,9 @@
 //! The policy of reeddock: every decision, derivation and tuned value.
 //!
-//! How it is invoked: a host makes one [`Forwarder`] for each instance with [`Forwarder::open`], tells it what
-//! happens ([`Forwarder::hand_in`], [`Forwarder::settled`], [`Forwarder::listed`], ...) and, once all that is
-//! known at a moment has been told, calls [`Forwarder::turn`]. What is decided goes out through the trait
-//! [`Host`]; the interface is in `host.rs`, the plain state in `state.rs`.
+//! How it is invoked: a host makes one [`Forwarder`] for each instance with [`Forwarder::open`], tells it
+//! what happens ([`Forwarder::hand_in`], [`Forwarder::settled`], [`Forwarder::listed`], ...) and, once all
+//! that is known at a moment has been told, calls [`Forwarder::turn`]. What is decided goes out through the
+//! trait [`Host`]; the interface is in `host.rs`, the plain state in `state.rs`.
 //!
 //! The argument from top to bottom: the rate card, the circuit of each route, the guards around it, choice of
 //! target, taking turns, what follows an outcome, final answers, and what the host tells.
@@ -48,6 +48,9 @@
 /// for good.
 const TIME_OUT_GROWTH: f64 = 1.5;
 
+/// A log line at most so often.
+const LOG_EVERY: Duration = Duration::from_secs(5);
+
 // ---------------------------------------------------------------------------------------------------------
 // The rate card: what the terms come down to.
 
@@ -119,7 +122,7 @@
             zone: terms.zone,
             forwarders: terms.forwarders.unwrap_or(1).max(1) as f64,
             slots: terms.slots.unwrap_or(u64::MAX).min(1 << 20) as usize,
-            room: terms.room.unwrap_or(u64::MAX).min(1 << 30) as usize,
+            room: terms.room.unwrap_or(u64::MAX).clamp(2, 1 << 30) as usize,
             dispatch_cap: terms.dispatch_cap.unwrap_or(u64::MAX).min(1 << 20) as u32,
             come_back: terms.come_back,
             window,
@@ -170,8 +173,8 @@
 }
 
 impl Circuit {
-    /// The design's question before each send. It changes nothing: the re-arming is in [`Circuit::re_arm`], as
-    /// a trial that finds no envelope to carry it must not push the next one back.
+    /// The design's question before each send. It changes nothing: the re-arming is in [`Circuit::re_arm`],
+    /// as a trial that finds no envelope to carry it must not push the next one back.
     fn deliver(&self, now: Duration) -> Leave {
         match self.restrained_until {
             None => Leave::Send,
@@ -209,8 +212,9 @@
         self.last_write = now;
     }
 
-    /// The design's expiry, derived: a record that can no longer matter is as good as none. With one recovery delay
-    /// for all it is max(delay, window) + margin after the last write; a told wait may make the delay longer.
+    /// The design's expiry, derived: a record that can no longer matter is as good as none. With one recovery
+    /// delay for all it is max(delay, window) + margin after the last write; a told wait may make the delay
+    /// longer.
     fn expire(&mut self, now: Duration, card: &RateCard) {
         let matters = self.restrained_until.unwrap_or_default().max(self.last_write + card.window);
         if self.trial.is_none() && now > matters + RECORD_MARGIN {
@@ -237,8 +241,8 @@
     }
 
     /// Envelopes a second that this forwarder usually has for a target. All forwarders together have no more
-    /// than the destination takes on a usual day, so that shares of it add up to shares of its capacity, however
-    /// unevenly the traffic is spread over them.
+    /// than the destination takes on a usual day, so that shares of it add up to shares of its capacity,
+    /// however unevenly the traffic is spread over them.
     fn usual_rate(&self, target: &Target, now: Duration) -> f64 {
         let Some(d) = self.destinations.get(&target.destination) else { return 0.0 };
         let elapsed = now.saturating_sub(d.first_seen).max(self.card.warm_within).as_secs_f64();
@@ -253,9 +257,9 @@
         }
     }
 
-    /// Guard for rule 4. Symptom: a target that failed calls, or refused all, may be on its way back, and cold.
-    /// Also covers one that fails on part of its calls. It can harm one that was never cold, by pacing it for
-    /// some seconds after a time-out.
+    /// Guard for rule 4. Symptom: a target that failed calls, or refused all, may be on its way back, and
+    /// cold. Also covers one that fails on part of its calls. It can harm one that was never cold, by pacing
+    /// it for some seconds after a time-out.
     fn push_room(&self, target: &Target, now: Duration) -> Result<f64, Duration> {
         let Some(trouble) = target.trouble else { return Ok(f64::MAX) };
         let card = &self.card;
@@ -306,8 +310,9 @@
         if now < circuit.wait_until {
             return Leave::Hold(Some(circuit.wait_until));
         }
-        // Symptom: calls are refused as over a limit, which refused calls, trials too, may use up as well. Also
-        // covers full queues. It can harm by staying slow for some answers after a limit was felt only once.
+        // Symptom: calls are refused as over a limit, which refused calls, trials too, may use up as well.
+        // Also covers full queues. It can harm by staying slow for some answers after a limit was felt only
+        // once.
         let spaced = circuit.last_sent + seconds(circuit.spacing);
         let leave = circuit.deliver(now);
         if matches!(leave, Leave::Hold(_)) {
@@ -352,7 +357,8 @@
             Route::Shared(own) => at.destination == own,
         };
         let of_route: Vec<_> = self.targets.iter().filter(alike).map(|(t, at)| (*t, at.trouble)).collect();
-        // A route takes at least half of what it is usually sent, in so many calls or in fewer and fuller ones.
+        // A route takes at least half of what it is usually sent, in so many calls or in fewer and fuller
+        // ones.
         let batch = target.kind.and_then(|k| self.card.kinds.get(k)).map_or(1, |k| k.2);
         let usual = self.usual_rate(target, now) * of_route.len() as f64 / batch as f64;
         let most = (self.card.forwarders / LEAST_CAPACITY).min(2.0 / usual.max(0.01));
@@ -386,14 +392,14 @@
             }
             Outcome::Full(wait) => {
                 circuit.fail(now, recovery_delay, card);
-                // A limit lets some calls through, or tells a short wait; what refuses all for long, or says so, is
-                // shut.
+                // A limit lets some calls through, or tells a short wait; what refuses all for long, or says
+                // so, is shut.
                 let silent = now.saturating_sub(circuit.last_answer) >= card.tip_after / 2;
                 let refuses_all = circuit.restrained_until.is_some() && silent;
                 all_troubled = wait.map_or(refuses_all, |w| w >= card.tip_after);
                 until = now + wait.unwrap_or_default();
-                // Where some waits are told, the others are guessed from them: at a route whose refused calls use
-                // up its limit, each early call makes the wait longer for all.
+                // Where some waits are told, the others are guessed from them: at a route whose refused calls
+                // use up its limit, each early call makes the wait longer for all.
                 if wait.is_none() {
                     circuit.wait_until = circuit.wait_until.max(now + circuit.told_wait);
                 }
@@ -535,11 +541,12 @@
         }
     }
 
-    /// Symptom: every slot is out, some with calls to silent routes, while others could send. The call that is
-    /// most overdue is called off, the more readily as it may run again elsewhere. Covers hanging, silent and
-    /// very slow destinations; it can harm by repeating work that would still have been answered.
+    /// Symptom: every slot is out, some with calls to silent routes, while others could send. The call that
+    /// is most overdue is called off, the more readily as it may run again elsewhere. Covers hanging, silent
+    /// and very slow destinations; it can harm by repeating work that would still have been answered.
     fn free_slot(&mut self, now: Duration, host: &mut dyn Host, wake: &mut Option<Duration>) {
-        // Newest answer of a route that an envelope waits to go to; where all are slow alike, none is called off.
+        // Newest answer of a route that an envelope waits to go to; where all are slow alike, none is called
+        // off.
         let mut lively = Duration::ZERO;
         for (id, d) in self.destinations.iter().filter(|(_, d)| !d.held.is_empty()) {
             for target in &d.targets {
@@ -558,7 +565,8 @@
                 continue;
             };
             let Some(envelope) = self.envelopes.get(&key.0) else { continue };
-            // Calling off an effectful one loses it, so that it takes a target that can't be reached any more.
+            // Calling off an effectful one loses it, so that it takes a target that can't be reached any
+            // more.
             let unreachable = self.targets.get(&d.target).and_then(|t| t.unreachable);
             let effectful = self.card.categories[envelope.category].effect == Effect::Effectful;
             if effectful && unreachable.is_none_or(|since| since < d.sent) {
@@ -649,7 +657,8 @@
         };
         let trial = repeatable(&lead) && !able(lead, true).is_empty() || able(lead, false).is_empty();
         let mut able = able(lead, trial);
-        // Symptom: one target of a destination fails while others answer, whose success keeps the circuit shut.
+        // Symptom: one target of a destination fails while others answer, whose success keeps the circuit
+        // shut.
         let rested = |id: &TargetId| {
             let t = &self.targets[id];
             now >= t.last_sent + self.card.recovery_delay * t.strikes.min(4)
@@ -723,8 +732,8 @@
     }
 }
 
-/// The step that a dispatch leaves behind: hold the envelope again where its category and what is known of the
-/// dispatch allow that, else break it off.
+/// The step that a dispatch leaves behind: hold the envelope again where its category and what is known of
+/// the dispatch allow that, else break it off.
 fn after_dispatch(id: EnvelopeId, target: TargetId, sent: Duration) -> Next {
     Box::new(move |forwarder, host, now, outcome| {
         let Some(envelope) = forwarder.envelopes.get_mut(&id) else { return };
@@ -898,9 +907,9 @@
         self.take(id, envelope, now);
     }
 
-    /// Whether a tenant's traffic is over its share now. A forwarder sees its own part only and cannot tell how
-    /// traffic is spread, so that it judges by the whole share: what is over that here is over it everywhere.
-    /// Two seconds of the share may come at once.
+    /// Whether a tenant's traffic is over its share now. A forwarder sees its own part only and cannot tell
+    /// how traffic is spread, so that it judges by the whole share: what is over that here is over it
+    /// everywhere. Two seconds of the share may come at once.
     fn over_share(&mut self, tenant: usize, now: Duration) -> bool {
         let share = self.card.tenants[tenant].1;
         let account = &mut self.tenants[tenant];
@@ -931,15 +940,23 @@
         {
             circuit.wait_until = circuit.wait_until.max(now + wait);
             circuit.told_wait = wait;
-            // Symptom: all that was held goes at once when a long wait ends, to a destination that was shut and is
-            // cold. A wait as long as the recovery delay is a restraint, and ends with a trial.
+            // Symptom: all that was held goes at once when a long wait ends, to a destination that was shut
+            // and is cold. A wait as long as the recovery delay is a restraint, and ends with a trial.
             if wait >= self.card.recovery_delay {
                 circuit.re_arm(now, wait);
             }
         }
         // What travels together ends together, and tells its tale once.
         if call_over {
+            let restrained =
+                |f: &Forwarder| f.circuits.get(&dispatch.route).is_some_and(|c| c.restrained_until.is_some());
+            let before = restrained(self);
             self.learn(dispatch.route, dispatch.target, dispatch.sent, now, outcome);
+            if before != restrained(self) && now >= self.log_after {
+                self.log_after = now + LOG_EVERY;
+                let what = if before { "back" } else { "restrained" };
+                host.log(&format!("{what}: {:?}, after {outcome:?}", dispatch.route));
+            }
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff) {
             self.rest_line(id, now + self.card.key_rest);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
-//! Plain state, grouped by how long it lives: for one dispatch, one envelope, one target, the instance; and the
-//! book-keeping that holds its parts together. What is decided with it stands in [`control`](crate::control).
+//! Plain state, grouped by how long it lives: for one dispatch, one envelope, one target, the instance; and
+//! the book-keeping that holds its parts together. What is decided with it stands in
+//! [`control`](crate::control).
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -128,6 +129,8 @@
     pub telling: Option<BTreeSet<TargetId>>,
     pub asked_list: Duration,
     pub counter: u64,
+    /// No log line before this time.
+    pub log_after: Duration,
     pub wake_at: Option<Duration>,
 }
 
@@ -147,6 +150,7 @@
             telling: None,
             asked_list: now,
             counter: 0,
+            log_after: Duration::ZERO,
             wake_at: None,
         }
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -253,3 +253,30 @@
     let asked = story.after(ms(0));
     assert!(matches!(asked[..], [Asked::Shed(..)]));
 }
+
+#[test]
+fn odd_lists_and_clocks_lose_no_envelope() {
+    let mut story = Story::with(&[(1, 9, "shared"), (2, 8, "unheard")]);
+    story.hand_in("a", "note", 9);
+    story.hand_in("nowhere", "note", 77);
+    story.hand_in("unheard", "no such category", 9);
+    assert_eq!(story.host.asked, [Asked::BrokenOff("unheard".into())]);
+    assert_eq!(story.sent_after(ms(0)), ["a"]);
+    story.list(false, &[(1, 8, "shared")], Standing::Active);
+    story.ends("a", 0, Outcome::NoConnection);
+    assert!(story.sent_after(ms(5000)).is_empty(), "its target has gone to another destination");
+    story.list(false, &[(1, 9, "shared")], Standing::Active);
+    assert_eq!(story.sent_after(ms(1000)), ["a"], "and has come back");
+    story.forwarder.withdrawn(&id("never seen"), &mut story.host);
+    story.ends("never seen", 3, Outcome::Completed);
+    let asked = story.after(ms(100_000_000));
+    assert_eq!(asked, [Asked::BrokenOff("nowhere".into())], "the clock jumped over its limit");
+    story.ends("a", 1, Outcome::TimedOut);
+    assert_eq!(story.after(ms(0)), [Asked::BrokenOff("a".into())]);
+    for n in 0..5000 {
+        story.hand_in(&format!("e{n}"), "note", 9);
+    }
+    let asked = story.after(ms(0));
+    let shed = asked.iter().filter(|a| matches!(a, Asked::Shed(..))).count();
+    assert_eq!(5000 - shed, story.forwarder.envelopes.len(), "each is held, sent or shed");
+}
