--- a/src/control.rs
+++ b/src/control.rs
@@ -489,7 +489,7 @@
         // Cutting off an effectful call loses the envelope, so that it gets twice the time.
         let patience = if category.effect == Effect::Effectful { 2.0 } else { 1.0 };
         // No second trial goes while one is out, so that a long one would hide the return.
-        let (means, floor) = if trial { (4.0, self.card.recovery_delay) } else { (8.0, category.promised) };
+        let (means, floor) = if trial { (4.0, self.card.recovery_delay) } else { (12.0, category.promised) };
         seconds((means * mean).max(floor.as_secs_f64()) * patience * growth).min(left)
     }
 }
