An envelope's second error tells of the envelope and not of the route

It also guards against single envelopes that a partner can't take; it may see an outage with errors later where one envelope is all that is sent.

--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -208,7 +208,7 @@
 ) -> Result<(), Fault> {
     match event.0 {
         "Sync" => match event.text(0)? {
-            "X" => forwarder.list_failed(now, host),
+            "X" => forwarder.list_failed(host),
             how @ ("D" | "F" | "C") => {
                 let slot = event.whole(2)?;
                 let lines =
--- a/src/control.rs
+++ b/src/control.rs
@@ -601,7 +601,8 @@
             .map(|(id, e)| {
                 // What may have run has a receipt that runs out, and goes before that.
                 let late = e.promised_by <= now && e.may_have_run.is_none();
-                ((e.over_share, late, self.card.categories[e.category].place, e.promised_by, e.arrival), id)
+                let place = self.card.categories[e.category].place;
+                ((e.over_share, e.errors > 1, late, place, e.promised_by, e.arrival), id)
             })
             .collect();
         ranked.sort();
@@ -648,7 +649,8 @@
         let repeatable =
             |id: &&EnvelopeId| self.card.categories[self.envelopes[*id].category].effect != Effect::Effectful;
         // A trial may be lost, so that one goes with an envelope that may run again, if there is any.
-        let lead = (ranked.iter().filter(repeatable).find(|id| !able(id, true).is_empty()))
+        let for_trial = ranked.iter().filter(repeatable).filter(|id| !able(id, true).is_empty());
+        let lead = (for_trial.min_by_key(|id| self.envelopes[*id].errors))
             .or_else(|| ranked.iter().find(|id| !able(id, false).is_empty()))
             .or_else(|| ranked.iter().find(|id| !able(id, true).is_empty()));
         let Some(lead) = lead else {
@@ -861,8 +863,7 @@
     }
 
     /// Asking for the list failed; the old one stands.
-    pub fn list_failed(&mut self, now: Duration, host: &mut dyn Host) {
-        let _ = now;
+    pub fn list_failed(&mut self, host: &mut dyn Host) {
         if self.card.ask_within.is_some() {
             host.subscribe(true);
         }
@@ -891,19 +892,7 @@
         let promised_by = outer_limit.saturating_sub(rate.outer_limit.saturating_sub(rate.promised));
         let tenant = tenant.and_then(|t| self.card.tenants.iter().position(|n| n.0 == t));
         let over_share = tenant.is_some_and(|t| self.over_share(t, now));
-        self.counter += 1;
-        let envelope = Envelope {
-            category,
-            key,
-            destination,
-            arrival: self.counter,
-            promised_by,
-            outer_limit,
-            over_share,
-            dispatches: 0,
-            out: Default::default(),
-            may_have_run: None,
-        };
+        let envelope = Envelope::new(category, key, destination, promised_by, outer_limit, over_share);
         self.take(id, envelope, now);
     }
 
@@ -946,8 +935,16 @@
                 circuit.re_arm(now, wait);
             }
         }
+        // Symptom: one envelope is answered with errors wherever it goes, and as the trial keeps its
+        // destination restrained. Its second error tells of the envelope and not of the route. It can harm by
+        // seeing an outage with errors later, where a single envelope is all that is sent.
+        let mut blamed = false;
+        if let Some(envelope) = self.envelopes.get_mut(id).filter(|_| outcome == Outcome::Error) {
+            blamed = envelope.errors > 0;
+            envelope.errors += 1;
+        }
         // What travels together ends together, and tells its tale once.
-        if call_over {
+        if call_over && !blamed {
             let restrained =
                 |f: &Forwarder| f.circuits.get(&dispatch.route).is_some_and(|c| c.restrained_until.is_some());
             let before = restrained(self);
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,11 +41,38 @@
     pub outer_limit: Duration,
     pub over_share: bool,
     pub dispatches: u32,
+    /// Answers with an error that it got.
+    pub errors: u32,
     pub out: BTreeSet<DispatchNo>,
     /// Earliest send of a dispatch that may have run, and where it went.
     pub may_have_run: Option<(Duration, TargetId)>,
 }
 
+impl Envelope {
+    pub fn new(
+        category: usize,
+        key: Option<KeyId>,
+        destination: DestinationId,
+        promised_by: Duration,
+        outer_limit: Duration,
+        over_share: bool,
+    ) -> Envelope {
+        Envelope {
+            category,
+            key,
+            destination,
+            arrival: 0,
+            promised_by,
+            outer_limit,
+            over_share,
+            dispatches: 0,
+            errors: 0,
+            out: BTreeSet::new(),
+            may_have_run: None,
+        }
+    }
+}
+
 /// Lives as long as the target is listed.
 pub struct Target {
     pub destination: DestinationId,
@@ -200,7 +227,9 @@
         self.destinations.entry(listing.destination).or_default().targets.insert(listing.target);
     }
 
-    pub(crate) fn take(&mut self, id: EnvelopeId, envelope: Envelope, now: Duration) {
+    pub(crate) fn take(&mut self, id: EnvelopeId, mut envelope: Envelope, now: Duration) {
+        self.counter += 1;
+        envelope.arrival = self.counter;
         if let Some(key) = envelope.key {
             self.keys.entry(key).or_default().line.push_back((envelope.arrival, id.clone()));
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -76,6 +76,18 @@
     assert!(matches!(story.after(ms(3000))[..], [Asked::Sent(_, 1, _)]));
 }
 
+#[test]
+fn an_envelope_that_is_always_answered_with_an_error_does_not_restrain_its_destination() {
+    let mut story = Story::with(ONE);
+    story.hand_in("bad", "note", 9);
+    for no in 0..4 {
+        assert_eq!(story.sent_after(ms(1500)), ["bad"]);
+        story.ends("bad", no, Outcome::Error);
+    }
+    story.hand_in("good", "order", 9);
+    assert_eq!(story.sent_after(ms(1))[0], "good");
+}
+
 #[test]
 fn an_effectful_envelope_that_may_have_run_is_broken_off() {
     for unsure in [Outcome::TimedOut, Outcome::Broken, Outcome::CalledOff, Outcome::Error] {
