--- a/src/control.rs
+++ b/src/control.rs
@@ -17,7 +17,7 @@
 
 /// Most failure times kept for a route.
 const FAILURES_KEPT: usize = 5;
-/// Failures within the window that restrain a route.
+/// Failures within the window that restrain a route; measured at 2, 3 and 5.
 const THRESHOLD: usize = 3;
 /// Added to a record's life against clocks that are read at different moments.
 const RECORD_MARGIN: Duration = Duration::from_secs(5);
@@ -44,8 +44,11 @@
 const EARNED_FIRST: f64 = 2.0;
 const EARNED_MOST: f64 = 5.0;
 const EARNED_PER_ANSWER: f64 = 0.25;
-/// A time-out of a route that ran into time-outs grows by this factor each, so that a slow one is not cut off
-/// for good.
+/// Time-outs in mean response times, of ordinary calls (measured at 8, 12, 16) and of trials; so many times as
+/// long for effectful envelopes, and longer after time-outs in a row, so that a slow route is not cut off.
+const TIME_OUT_MEANS: f64 = 12.0;
+const TRIAL_MEANS: f64 = 4.0;
+const EFFECTFUL_PATIENCE: f64 = 2.0;
 const TIME_OUT_GROWTH: f64 = 1.5;
 
 /// A log line at most so often.
@@ -487,9 +490,10 @@
         let mean = circuit.and_then(|c| c.mean).unwrap_or(0.0);
         let growth = TIME_OUT_GROWTH.powi(circuit.map_or(0, |c| c.time_outs.min(2)) as i32);
         // Cutting off an effectful call loses the envelope, so that it gets twice the time.
-        let patience = if category.effect == Effect::Effectful { 2.0 } else { 1.0 };
+        let patience = if category.effect == Effect::Effectful { EFFECTFUL_PATIENCE } else { 1.0 };
         // No second trial goes while one is out, so that a long one would hide the return.
-        let (means, floor) = if trial { (4.0, self.card.recovery_delay) } else { (12.0, category.promised) };
+        let ordinary = (TIME_OUT_MEANS, category.promised);
+        let (means, floor) = if trial { (TRIAL_MEANS, self.card.recovery_delay) } else { ordinary };
         seconds((means * mean).max(floor.as_secs_f64()) * patience * growth).min(left)
     }
 }
