--- a/src/control.rs
+++ b/src/control.rs
@@ -44,8 +44,8 @@
 const EARNED_FIRST: f64 = 2.0;
 const EARNED_MOST: f64 = 5.0;
 const EARNED_PER_ANSWER: f64 = 0.25;
-/// Time-outs in mean response times, of ordinary calls (measured at 8, 12, 16) and of trials; so many times as
-/// long for effectful envelopes, and longer after time-outs in a row, so that a slow route is not cut off.
+/// Time-outs in mean response times, of ordinary calls (measured at 8, 12, 16) and of trials; so many times
+/// as long for effectful envelopes, and longer after time-outs in a row, so that a slow route is not cut off.
 const TIME_OUT_MEANS: f64 = 12.0;
 const TRIAL_MEANS: f64 = 4.0;
 const EFFECTFUL_PATIENCE: f64 = 2.0;
