--- a/src/control.rs
+++ b/src/control.rs
@@ -54,8 +54,7 @@
 /// A log line at most so often.
 const LOG_EVERY: Duration = Duration::from_secs(5);
 
-// ---------------------------------------------------------------------------------------------------------
-// The rate card: what the terms come down to.
+// # The rate card: what the terms come down to.
 
 /// One category, in the figures that decisions use.
 pub struct CategoryRate {
@@ -150,8 +149,7 @@
     Duration::try_from_secs_f64(s.max(0.0)).unwrap_or(Duration::from_secs(86_400))
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// The circuit, as the design page has it.
+// # The circuit, as the design page has it.
 
 /// What a circuit says to a delivery.
 #[derive(Debug, PartialEq)]
@@ -227,14 +225,18 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Guards around the circuit.
+// # Guards around the circuit.
 
 impl Forwarder {
     fn apart(&self, target: &Target) -> bool {
         target.kind.and_then(|k| self.card.kinds.get(k)).is_some_and(|k| k.1)
     }
 
+    /// Envelopes in one call to a target at most.
+    fn batch(&self, target: &Target) -> usize {
+        target.kind.and_then(|k| self.card.kinds.get(k)).map_or(1, |k| k.2)
+    }
+
     fn route_of(&self, id: TargetId, target: &Target) -> Route {
         if self.apart(target) {
             Route::Apart(id)
@@ -273,17 +275,27 @@
         if share >= 1.0 {
             return Ok(f64::MAX);
         }
-        let per_second = PUSH_OF_USUAL * card.fall_multiple * share * self.usual_rate(target, now);
+        // Departure: where calls carry many envelopes and all targets of a shared destination are in trouble,
+        // these have one budget, for fewer and fuller calls.
+        let alike = |t: &&Target| t.destination == target.destination && t.standing == Standing::Active;
+        let mut pool: Vec<&Target> = self.targets.values().filter(alike).collect();
+        if self.apart(target) || self.batch(target) < 2 || pool.iter().any(|t| t.trouble.is_none()) {
+            pool = vec![target];
+        }
+        let usual = self.usual_rate(target, now) * pool.len() as f64;
+        let per_second = PUSH_OF_USUAL * card.fall_multiple * share * usual;
         let budget = per_second * card.tip_after.as_secs_f64();
         if budget < SPACED_BUDGET {
             // So few calls for each span are this forwarder's part that whole ones would waste much of it.
-            let next = target.pushes.back().map(|p| p.0 + seconds(p.1 / per_second.max(0.01)));
+            let last = pool.iter().filter_map(|t| t.pushes.back()).max_by_key(|p| p.0);
+            let next = last.map(|p| p.0 + seconds(p.1 / per_second.max(0.01)));
             return next.filter(|at| now < *at).map_or(Ok(budget.max(1.0)), Err);
         }
-        let mut recent = target.pushes.iter().filter(|p| now.saturating_sub(p.0) < card.tip_after);
+        let pushes = pool.iter().flat_map(|t| &t.pushes);
+        let recent = pushes.filter(|p| now.saturating_sub(p.0) < card.tip_after);
         let left = budget - recent.clone().map(|p| p.1).sum::<f64>();
-        match recent.next() {
-            Some(oldest) if left < 1.0 => Err(oldest.0 + card.tip_after),
+        match recent.map(|p| p.0).min() {
+            Some(oldest) if left < 1.0 => Err(oldest + card.tip_after),
             _ => Ok(left.max(1.0)),
         }
     }
@@ -362,8 +374,7 @@
         let of_route: Vec<_> = self.targets.iter().filter(alike).map(|(t, at)| (*t, at.trouble)).collect();
         // A route takes at least half of what it is usually sent, in so many calls or in fewer and fuller
         // ones.
-        let batch = target.kind.and_then(|k| self.card.kinds.get(k)).map_or(1, |k| k.2);
-        let usual = self.usual_rate(target, now) * of_route.len() as f64 / batch as f64;
+        let usual = self.usual_rate(target, now) * of_route.len() as f64 / self.batch(target) as f64;
         let most = (self.card.forwarders / LEAST_CAPACITY).min(2.0 / usual.max(0.01));
         let troubled = of_route.iter().any(|(_, trouble)| trouble.is_some());
         // Calls that this forwarder has sent to the route of late.
@@ -444,8 +455,7 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Choice of target and time-out.
+// # Choice of target and time-out.
 
 impl Forwarder {
     /// Whether this envelope may go to that target at all, by the rules and by earned credit.
@@ -476,11 +486,7 @@
             let t = &self.targets[&id];
             (t.strikes.min(3), t.zone != self.card.zone, t.calls_out)
         };
-        if burden(b) < burden(a) {
-            b
-        } else {
-            a
-        }
+        std::cmp::min_by_key(a, b, |t| burden(*t))
     }
 
     fn time_out(&self, envelope: &Envelope, route: Route, trial: bool, now: Duration) -> Duration {
@@ -498,8 +504,7 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Taking turns.
+// # Taking turns.
 
 impl Forwarder {
     /// Decides all that can be decided now. To be called once everything known at this time has been told.
@@ -674,11 +679,9 @@
         }
         let target = self.choose(&able);
         let route = open[&target].0;
-        let kind = self.targets[&target].kind.and_then(|k| self.card.kinds.get(k));
         // Many envelopes in one call push a cold target more than one does.
-        let room = self.push_room(&self.targets[&target], now).unwrap_or(1.0);
-        let fits = 1.0 + (room - 1.0) / PUSH_PER_EXTRA;
-        let batch = if trial { 1 } else { kind.map_or(1, |k| k.2).min(fits as usize) };
+        let fits = 1.0 + (self.push_room(&self.targets[&target], now).unwrap_or(1.0) - 1.0) / PUSH_PER_EXTRA;
+        let batch = if trial { 1 } else { self.batch(&self.targets[&target]).min(fits as usize) };
         let lead = lead.clone();
         let mut going = vec![lead.clone()];
         for id in ranked.iter().filter(|id| **id != lead).take(batch - 1) {
@@ -760,8 +763,7 @@
     })
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// Final answers.
+// # Final answers.
 
 impl Forwarder {
     /// The one final answer for an envelope that is given up on: shed where handing it in again is harmless.
@@ -845,8 +847,7 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------------------
-// What the host tells.
+// # What the host tells.
 
 impl Forwarder {
     /// A new instance, which knows the terms and nothing else.
