--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -292,3 +292,32 @@
     let shed = asked.iter().filter(|a| matches!(a, Asked::Shed(..))).count();
     assert_eq!(5000 - shed, story.forwarder.envelopes.len(), "each is held, sent or shed");
 }
+
+#[test]
+fn absurd_terms_do_not_stop_a_forwarder() {
+    let zero = Some(ms(0));
+    let odd = Terms {
+        categories: vec![CategoryTerms { name: "note".into(), credit: Some(f64::NAN), ..Default::default() }],
+        forwarders: Some(0),
+        slots: Some(0),
+        room: Some(0),
+        cold_from: Some(-1.0),
+        fall_multiple: Some(f64::INFINITY),
+        tip_after: zero,
+        warm_within: zero,
+        weights_are_rates: true,
+        ..Default::default()
+    };
+    for slots in [Some(0), None] {
+        let mut story = Story::new(Terms { slots, ..terms() });
+        story.list(true, ONE, Standing::Active);
+        story.hand_in("a", "note", 9);
+        assert_eq!(story.sent_after(ms(0)).is_empty(), slots.is_some());
+    }
+    let mut story = Story::new(odd);
+    story.list(true, ONE, Standing::Active);
+    story.hand_in("a", "note", 9);
+    let asked = story.after(ms(100));
+    assert!(asked.is_empty(), "no slot: it is held, {asked:?}");
+    assert_eq!(story.after(ms(30_000)), [Asked::BrokenOff("a".into())]);
+}
