An envelope costs nothing for the rest of the fleet; decisions as before

Cause: each turn went over all targets, circuits and destinations. Now only over those that envelopes wait for.

--- a/src/control.rs
+++ b/src/control.rs
@@ -277,8 +277,9 @@
         }
         // Departure: where calls carry many envelopes and all targets of a shared destination are in trouble,
         // these have one budget, for fewer and fuller calls.
-        let alike = |t: &&Target| t.destination == target.destination && t.standing == Standing::Active;
-        let mut pool: Vec<&Target> = self.targets.values().filter(alike).collect();
+        let of_destination = self.destinations.get(&target.destination).into_iter().flat_map(|d| &d.targets);
+        let mut pool: Vec<&Target> = of_destination.filter_map(|t| self.targets.get(t)).collect();
+        pool.retain(|t| t.standing == Standing::Active);
         if self.apart(target) || self.batch(target) < 2 || pool.iter().any(|t| t.trouble.is_none()) {
             pool = vec![target];
         }
@@ -367,18 +368,18 @@
     fn learn(&mut self, route: Route, id: TargetId, sent: Duration, now: Duration, outcome: Outcome) {
         let Some(target) = self.targets.get(&id) else { return };
         let recovery_delay = self.recovery_delay(target, now);
-        let alike = |(t, at): &(&TargetId, &Target)| match route {
-            Route::Apart(own) => **t == own,
-            Route::Shared(own) => at.destination == own,
+        let of_route: Vec<TargetId> = match (route, self.destinations.get(&target.destination)) {
+            (Route::Shared(_), Some(d)) => d.targets.iter().copied().collect(),
+            _ => vec![id],
         };
-        let of_route: Vec<_> = self.targets.iter().filter(alike).map(|(t, at)| (*t, at.trouble)).collect();
         // A route takes at least half of what it is usually sent, in so many calls or in fewer and fuller
         // ones.
         let usual = self.usual_rate(target, now) * of_route.len() as f64 / self.batch(target) as f64;
         let most = (self.card.forwarders / LEAST_CAPACITY).min(2.0 / usual.max(0.01));
-        let troubled = of_route.iter().any(|(_, trouble)| trouble.is_some());
+        let members = of_route.iter().filter_map(|t| self.targets.get(t));
+        let troubled = members.clone().any(|t| t.trouble.is_some());
         // Calls that this forwarder has sent to the route of late.
-        let lately = self.targets.iter().filter(alike).flat_map(|(_, t)| &t.pushes);
+        let lately = members.flat_map(|t| &t.pushes);
         let lately = lately.filter(|p| now.saturating_sub(p.0) < self.card.tip_after).count();
         let card = &self.card;
         let circuit = self.circuits.entry(route).or_default();
@@ -446,7 +447,7 @@
             }
         }
         if all_troubled {
-            for (id, _) in of_route {
+            for id in of_route {
                 if let Some(t) = self.targets.get_mut(&id) {
                     t.trouble = Some(until);
                 }
@@ -510,24 +511,16 @@
     /// Decides all that can be decided now. To be called once everything known at this time has been told.
     pub fn turn(&mut self, now: Duration, host: &mut dyn Host) {
         let mut wake: Option<Duration> = None;
+        for id in self.waiting.clone() {
+            self.forget_old(id, now);
+        }
         self.answer_hopeless(now, host, &mut wake);
         self.make_room(now, host);
         self.keys.retain(|_, line| !line.line.is_empty() || now < line.rest_until);
-        for circuit in self.circuits.values_mut() {
-            circuit.expire(now, &self.card);
-        }
-        let tip_after = self.card.tip_after;
-        for target in self.targets.values_mut() {
-            while target.pushes.len() > 1 && now.saturating_sub(target.pushes[0].0) > tip_after {
-                target.pushes.pop_front();
-            }
-            if target.trouble.is_some_and(|t| now > t + tip_after + self.card.warm_within) {
-                target.trouble = None;
-            }
-        }
         while self.calls.len() < self.card.slots {
             let mut turns: Vec<(usize, u64, DestinationId)> = Vec::new();
-            for (id, d) in self.destinations.iter().filter(|(_, d)| !d.held.is_empty()) {
+            for id in &self.waiting {
+                let d = &self.destinations[id];
                 let out =
                     d.targets.iter().filter_map(|t| self.targets.get(t)).map(|t| t.calls_out as usize).sum();
                 turns.push((out, d.last_turn, *id));
@@ -550,6 +543,24 @@
         }
     }
 
+    /// Drops what is too old to matter of a destination's records, before they are read.
+    fn forget_old(&mut self, destination: DestinationId, now: Duration) {
+        let Some(d) = self.destinations.get(&destination) else { return };
+        let tip_after = self.card.tip_after;
+        for id in &d.targets {
+            let Some(target) = self.targets.get(id) else { continue };
+            let route = self.route_of(*id, target);
+            if let Some(circuit) = self.circuits.get_mut(&route) {
+                circuit.expire(now, &self.card);
+            }
+            let Some(target) = self.targets.get_mut(id) else { continue };
+            while target.pushes.len() > 1 && now.saturating_sub(target.pushes[0].0) > tip_after {
+                target.pushes.pop_front();
+            }
+            target.trouble = target.trouble.filter(|t| now <= *t + tip_after + self.card.warm_within);
+        }
+    }
+
     /// Symptom: every slot is out, some with calls to silent routes, while others could send. The call that
     /// is most overdue is called off, the more readily as it may run again elsewhere. Covers hanging, silent
     /// and very slow destinations; it can harm by repeating work that would still have been answered.
@@ -557,8 +568,8 @@
         // Newest answer of a route that an envelope waits to go to; where all are slow alike, none is called
         // off.
         let mut lively = Duration::ZERO;
-        for (id, d) in self.destinations.iter().filter(|(_, d)| !d.held.is_empty()) {
-            for target in &d.targets {
+        for id in &self.waiting {
+            for target in &self.destinations[id].targets {
                 let t = &self.targets[target];
                 let route = self.route_of(*target, t);
                 let Some(circuit) = self.circuits.get(&route) else { continue };
@@ -757,8 +768,9 @@
         let spent = envelope.dispatches >= forwarder.card.dispatch_cap || now >= envelope.outer_limit;
         if spent || (effect == Effect::Effectful && envelope.may_have_run.is_some()) {
             forwarder.give_up(&id, now, host);
-        } else if let Some(d) = forwarder.destinations.get_mut(&envelope.destination) {
-            d.held.push(id);
+        } else {
+            let destination = envelope.destination;
+            forwarder.hold(destination, id);
         }
     })
 }
@@ -808,7 +820,7 @@
     /// asked wait of every target ends too late, or a receipt has run out.
     fn answer_hopeless(&mut self, now: Duration, host: &mut dyn Host, wake: &mut Option<Duration>) {
         let mut hopeless = Vec::new();
-        for d in self.destinations.values().filter(|d| !d.held.is_empty()) {
+        for d in self.waiting.iter().filter_map(|id| self.destinations.get(id)) {
             let circuits = d.targets.iter().filter_map(|id| {
                 let t = self.targets.get(id).filter(|t| t.standing == Standing::Active)?;
                 self.circuits.get(&self.route_of(*id, t))
@@ -838,8 +850,8 @@
     /// least to hope for goes instead: beyond its share, then late, of the destination with most held.
     fn make_room(&mut self, now: Duration, host: &mut dyn Host) {
         while self.envelopes.len() >= self.card.room {
-            let fullest = self.destinations.iter().max_by_key(|(_, d)| d.held.len());
-            let Some((id, _)) = fullest.filter(|(_, d)| !d.held.is_empty()) else { return };
+            let fullest = self.waiting.iter().max_by_key(|id| self.destinations[*id].held.len());
+            let Some(id) = fullest else { return };
             let last = self.ranked(*id, now).pop().or_else(|| self.destinations[id].held.last().cloned());
             let Some(last) = last else { return };
             self.give_up(&last, now, host);
@@ -929,6 +941,9 @@
         host: &mut dyn Host,
     ) {
         let Some((dispatch, call_over)) = self.close(id, no) else { return };
+        if let Some(target) = self.targets.get(&dispatch.target) {
+            self.forget_old(target.destination, now);
+        }
         // Rule 6. Each envelope of a call may be the one that is told to wait.
         if let (Outcome::Full(Some(wait)), Some(circuit)) = (outcome, self.circuits.get_mut(&dispatch.route))
         {
--- a/src/state.rs
+++ b/src/state.rs
@@ -149,6 +149,8 @@
     pub calls: BTreeMap<u64, u32>,
     pub targets: BTreeMap<TargetId, Target>,
     pub destinations: BTreeMap<DestinationId, Destination>,
+    /// Destinations that envelopes are held for; the others cost a turn nothing.
+    pub waiting: BTreeSet<DestinationId>,
     pub circuits: BTreeMap<Route, Circuit>,
     pub keys: BTreeMap<KeyId, KeyLine>,
     pub tenants: Vec<Tenant>,
@@ -171,6 +173,7 @@
             calls: BTreeMap::new(),
             targets: BTreeMap::new(),
             destinations: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             circuits: BTreeMap::new(),
             keys: BTreeMap::new(),
             tenants,
@@ -238,10 +241,25 @@
             d.first_seen = now;
         }
         d.arrivals += 1;
-        d.held.push(id.clone());
+        self.hold(envelope.destination, id.clone());
         self.envelopes.insert(id, envelope);
     }
 
+    /// Holds an envelope for its destination.
+    pub(crate) fn hold(&mut self, destination: DestinationId, id: EnvelopeId) {
+        self.destinations.entry(destination).or_default().held.push(id);
+        self.waiting.insert(destination);
+    }
+
+    /// The envelope is not held any more.
+    fn unhold(&mut self, destination: DestinationId, id: &EnvelopeId) {
+        let Some(d) = self.destinations.get_mut(&destination) else { return };
+        d.held.retain(|held| held != id);
+        if d.held.is_empty() {
+            self.waiting.remove(&destination);
+        }
+    }
+
     /// Books a dispatch of a held envelope, which is held no more.
     pub(crate) fn begin(&mut self, id: &EnvelopeId, dispatch: Dispatch) -> DispatchNo {
         let mut no = DispatchNo(0);
@@ -249,9 +267,9 @@
             no = DispatchNo(envelope.dispatches);
             envelope.dispatches += 1;
             envelope.out.insert(no);
-            let d = self.destinations.entry(envelope.destination).or_default();
-            d.held.retain(|held| held != id);
-            d.last_turn = dispatch.call;
+            let destination = envelope.destination;
+            self.destinations.entry(destination).or_default().last_turn = dispatch.call;
+            self.unhold(destination, id);
         }
         self.dispatches.insert((id.clone(), no), dispatch);
         no
@@ -283,9 +301,7 @@
     /// Drops an envelope that has its final answer; names the dispatches that are still out for it.
     pub(crate) fn forget(&mut self, id: &EnvelopeId) -> BTreeSet<DispatchNo> {
         let Some(envelope) = self.envelopes.remove(id) else { return BTreeSet::new() };
-        if let Some(d) = self.destinations.get_mut(&envelope.destination) {
-            d.held.retain(|held| held != id);
-        }
+        self.unhold(envelope.destination, id);
         self.leave_line(id);
         envelope.out
     }
