--- a/src/control.rs
+++ b/src/control.rs
@@ -34,6 +34,8 @@
 /// one call in eight may be refused while the limit is being felt for.
 const SPACING_GROWTH: f64 = 1.6;
 const SPACING_SHRINK: f64 = 0.93;
+/// First spacing, in usual gaps between a forwarder's calls to the route.
+const FIRST_GAP: f64 = 0.5;
 /// Weight of a new response time in the running mean.
 const MEAN_STEP: f64 = 0.2;
 /// A route is silent when no answer came for so many mean response times, and for so many more divided by the
@@ -41,7 +43,7 @@
 const OVERDUE_MEANS: f64 = 1.5;
 const OVERDUE_SHARED: f64 = 4.0;
 /// Further dispatches that a target has to its credit at first, at most, and for each answer.
-const EARNED_FIRST: f64 = 2.0;
+const EARNED_FIRST: f64 = 0.0;
 const EARNED_MOST: f64 = 5.0;
 const EARNED_PER_ANSWER: f64 = 0.25;
 /// Time-outs in mean response times, of ordinary calls (measured at 8, 12, 16) and of trials; so many times
@@ -425,6 +427,7 @@
                     } else {
                         card.recovery_delay.as_secs_f64() / 8.0
                     };
+                    let first = first.max(FIRST_GAP / usual.max(0.01));
                     circuit.spacing = (circuit.spacing * SPACING_GROWTH).max(first).min(most);
                     circuit.spaced_at = now;
                 }
@@ -464,15 +467,16 @@
         if target.standing != Standing::Active || target.destination != envelope.destination {
             return false;
         }
-        let Some((first, at)) = envelope.may_have_run else { return true };
-        if let Effect::Receipted { window, group } = self.card.categories[envelope.category].effect {
+        let effect = self.card.categories[envelope.category].effect;
+        if let (Some((first, at)), Effect::Receipted { window, group }) = (envelope.may_have_run, effect) {
             let same_zone = self.targets.get(&at).is_some_and(|t| t.zone == target.zone);
             if now >= first + window || (group == Group::Zone && id != at && !same_zone) {
                 return false;
             }
         }
-        // A further dispatch goes where answers have earned it, or where nothing was sent for a while.
-        target.earned >= 1.0 || now.saturating_sub(target.last_sent) >= self.card.recovery_delay
+        // A further dispatch goes where answers have earned it, or where nothing was sent for a usual gap.
+        let gap = seconds(1.0 / self.usual_rate(target, now).max(0.01)).max(self.card.recovery_delay);
+        envelope.dispatches == 0 || target.earned >= 1.0 || now.saturating_sub(target.last_sent) >= gap
     }
 
     /// Two drawn at random, the one that the forwarder's own counts favour is taken.
@@ -722,7 +726,7 @@
         for id in going {
             let Some(envelope) = self.envelopes.get(&id) else { continue };
             let time_out = self.time_out(envelope, route, trial, now);
-            let further = envelope.may_have_run.is_some();
+            let further = envelope.dispatches > 0;
             let then = after_dispatch(id.clone(), target, now);
             let no = self.begin(&id, Dispatch { target, route, call, sent: now, called_off: false, then });
             if let Some(t) = self.targets.get_mut(&target).filter(|_| further) {
