--- a/src/chance.rs
+++ b/src/chance.rs
@@ -17,6 +17,11 @@
         mixed.rotate_right((old >> 59) as u32)
     }
 
+    /// A number from 0 to just under 1.
+    pub fn fraction(&mut self) -> f64 {
+        f64::from(self.next()) / 4_294_967_296.0
+    }
+
     /// A whole number below `bound`; 0 where the bound is 0.
     pub fn below(&mut self, bound: usize) -> usize {
         ((u64::from(self.next()) * bound as u64) >> 32) as usize
--- a/src/control.rs
+++ b/src/control.rs
@@ -89,7 +89,6 @@
     key_rest: Duration,
     ask_within: Option<Duration>,
     weights_are_rates: bool,
-    zones_priced: bool,
 }
 
 impl RateCard {
@@ -138,7 +137,6 @@
             key_rest: terms.key_rest.unwrap_or_default(),
             ask_within: terms.ask_within,
             weights_are_rates: terms.weights_are_rates,
-            zones_priced: finite(terms.cross_zone_price, 0.0) > 0.0,
         }
     }
 }
@@ -481,12 +479,23 @@
 
     /// Two drawn at random, the one that the forwarder's own counts favour is taken.
     fn choose(&mut self, able: &[TargetId]) -> TargetId {
-        // Departure: the first draw is from the own zone, where calls across zones have a price.
-        let near: Vec<TargetId> =
-            able.iter().copied().filter(|t| self.targets[t].zone == self.card.zone).collect();
-        let first = if near.is_empty() || !self.card.zones_priced { able } else { &near[..] };
-        let a = first[self.chance.below(first.len())];
-        let b = able[self.chance.below(able.len())];
+        // Departure: where routes apart have listed rates, they are drawn by these, as nothing else tells a
+        // forwarder that sees little of each that one takes a third of what its neighbour takes.
+        let rate = |id: &TargetId| {
+            let t = &self.targets[id];
+            t.weight.filter(|_| self.card.weights_are_rates && self.apart(t)).unwrap_or(1.0)
+        };
+        let rates: Vec<f64> = able.iter().map(rate).collect();
+        let total: f64 = rates.iter().sum();
+        let mut draw = || {
+            let mut left = self.chance.fraction() * total;
+            let passed = rates.iter().position(|rate| {
+                left -= rate;
+                left < 0.0
+            });
+            able[passed.unwrap_or(able.len() - 1)]
+        };
+        let (a, b) = (draw(), draw());
         let burden = |id: TargetId| {
             let t = &self.targets[&id];
             (t.strikes.min(3), t.zone != self.card.zone, t.calls_out)
@@ -854,7 +863,13 @@
     /// least to hope for goes instead: beyond its share, then late, of the destination with most held.
     fn make_room(&mut self, now: Duration, host: &mut dyn Host) {
         while self.envelopes.len() >= self.card.room {
-            let fullest = self.waiting.iter().max_by_key(|id| self.destinations[*id].held.len());
+            // In calls, as many envelopes that travel as one take no more of the slots than one.
+            let calls = |id: &&DestinationId| {
+                let d = &self.destinations[*id];
+                let batch = d.targets.iter().filter_map(|t| self.targets.get(t)).map(|t| self.batch(t)).max();
+                d.held.len().div_ceil(batch.unwrap_or(1))
+            };
+            let fullest = self.waiting.iter().max_by_key(calls);
             let Some(id) = fullest else { return };
             let last = self.ranked(*id, now).pop().or_else(|| self.destinations[id].held.last().cloned());
             let Some(last) = last else { return };
