--- a/src/state.rs
+++ b/src/state.rs
@@ -41,6 +41,7 @@
     pub outer_limit: Duration,
     pub over_share: bool,
     pub dispatches: u32,
+    pub last_sent: Duration,
     /// Answers with an error that it got.
     pub errors: u32,
     pub out: BTreeSet<DispatchNo>,
@@ -66,6 +67,7 @@
             outer_limit,
             over_share,
             dispatches: 0,
+            last_sent: Duration::ZERO,
             errors: 0,
             out: BTreeSet::new(),
             may_have_run: None,
@@ -266,6 +268,7 @@
         if let Some(envelope) = self.envelopes.get_mut(id) {
             no = DispatchNo(envelope.dispatches);
             envelope.dispatches += 1;
+            envelope.last_sent = dispatch.sent;
             envelope.out.insert(no);
             let destination = envelope.destination;
             self.destinations.entry(destination).or_default().last_turn = dispatch.call;
