--- a/src/control.rs
+++ b/src/control.rs
@@ -472,10 +472,14 @@
                 return false;
             }
         }
-        // A further dispatch goes where answers have earned it, or late enough to add little to what the
-        // destination is sent: the promised time after the first, twice that after the next.
+        // A further dispatch goes where answers have earned it, or where nothing was sent for a usual gap, or
+        // late enough to add little: the promised time after the first, twice that after the next.
+        let idle = seconds(1.0 / self.usual_rate(target, now).max(0.01)).max(self.card.recovery_delay);
         let rest = self.card.categories[envelope.category].promised * (1 << envelope.dispatches.min(8)) / 2;
-        envelope.dispatches == 0 || target.earned >= 1.0 || now.saturating_sub(envelope.last_sent) >= rest
+        envelope.dispatches == 0
+            || target.earned >= 1.0
+            || now.saturating_sub(target.last_sent) >= idle
+            || now.saturating_sub(envelope.last_sent) >= rest
     }
 
     /// Two drawn at random, the one that the forwarder's own counts favour is taken.
