--- a/src/state.rs
+++ b/src/state.rs
@@ -156,6 +156,8 @@
     pub circuits: BTreeMap<Route, Circuit>,
     pub keys: BTreeMap<KeyId, KeyLine>,
     pub tenants: Vec<Tenant>,
+    /// For each kind of destination, the share of calls that found no connection.
+    pub crowds: Vec<f64>,
     /// Targets named so far by a whole list that is being told.
     pub telling: Option<BTreeSet<TargetId>>,
     pub asked_list: Duration,
@@ -167,6 +169,7 @@
 
 impl Forwarder {
     pub(crate) fn new(card: RateCard, chance: Chance, tenants: Vec<Tenant>, now: Duration) -> Forwarder {
+        let crowds = vec![0.0; card.kinds_told()];
         Forwarder {
             card,
             chance,
@@ -179,6 +182,7 @@
             circuits: BTreeMap::new(),
             keys: BTreeMap::new(),
             tenants,
+            crowds,
             telling: None,
             asked_list: now,
             counter: 0,
