--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -342,6 +342,5 @@
             .filter(|_| info.get("discovery").and_then(Value::as_str) == Some("subscribe")),
         weights_are_rates: matches!(info.get("weights").and_then(Value::as_str), Some("nominal" | "rough")),
         cross_zone_price: number(part("tariffs").get("crossZone")),
-        idle_close: span(limits.get("connIdleUs")),
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -53,11 +53,9 @@
 const EFFECTFUL_PATIENCE: f64 = 2.0;
 const TIME_OUT_GROWTH: f64 = 1.5;
 
-/// Share of a kind's calls that find no connection, in the running mean, from which idle ones are closed; and
-/// the calls within the time that an idle one lives for which it is kept all the same.
+/// Share of a kind's calls that find no connection, in the running mean, from which idle ones are closed.
 const CROWDED: f64 = 0.01;
 const CROWDED_STEP: f64 = 0.02;
-const KEPT_FOR: f64 = 4.0;
 
 /// A log line at most so often.
 const LOG_EVERY: Duration = Duration::from_secs(5);
@@ -95,7 +93,6 @@
     key_rest: Duration,
     ask_within: Option<Duration>,
     weights_are_rates: bool,
-    idle_close: Duration,
 }
 
 impl RateCard {
@@ -144,7 +141,6 @@
             key_rest: terms.key_rest.unwrap_or_default(),
             ask_within: terms.ask_within,
             weights_are_rates: terms.weights_are_rates,
-            idle_close: terms.idle_close.unwrap_or_default(),
         }
     }
 }
@@ -1014,7 +1010,7 @@
             }
         }
         if call_over {
-            self.leave_connection(dispatch.target, now, outcome, host);
+            self.leave_connection(dispatch.target, outcome, host);
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff) {
             self.rest_line(id, now + self.card.key_rest);
@@ -1028,17 +1024,15 @@
     }
 
     /// Symptom: connections to targets of a kind are not made. They may take only so many, and idle ones of
-    /// many forwarders that seldom call fill them. So each is closed after its call, unless the next will come
-    /// soon. Also eases destinations that are short of memory for them; it can harm by new connections that
-    /// cost time, where none was made because the target was down.
-    fn leave_connection(&mut self, id: TargetId, now: Duration, outcome: Outcome, host: &mut dyn Host) {
+    /// many forwarders that seldom call fill them; where these are more than the calls that one forwarder may
+    /// have out, each is closed after its call. Also eases destinations that are short of memory for them; it
+    /// can harm by new connections that cost time, where none was made because the target was down.
+    fn leave_connection(&mut self, id: TargetId, outcome: Outcome, host: &mut dyn Host) {
         let Some(target) = self.targets.get(&id) else { return };
         let Some(crowd) = target.kind.and_then(|k| self.crowds.get_mut(k)) else { return };
         let failed = if outcome == Outcome::NoConnection { 1.0 } else { 0.0 };
         *crowd += CROWDED_STEP * (failed - *crowd);
-        let crowded = *crowd > CROWDED;
-        let next = self.usual_rate(target, now) * self.card.idle_close.as_secs_f64();
-        if crowded && target.calls_out == 0 && next < KEPT_FOR {
+        if *crowd > CROWDED && target.calls_out == 0 && self.card.forwarders > self.card.slots as f64 {
             host.close_idle(id);
         }
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -120,8 +120,6 @@
     /// Whether the list's weights are rates in calls a second.
     pub weights_are_rates: bool,
     pub cross_zone_price: Option<f64>,
-    /// How long a connection is kept that nothing is sent on.
-    pub idle_close: Option<Duration>,
 }
 
 /// What the module asks of the program that hosts it. All of it takes effect at the time of the call.
