Overdue calls give way once anything has answered since, by a pooled pace

Cause: with three slots, lost answers held them a full time-out; a forwarder that sees little of each route had no pace to tell overdue by.

--- a/src/control.rs
+++ b/src/control.rs
@@ -325,7 +325,7 @@
 
     /// How long no answer may come before the route counts as silent: the more calls are out, the sooner.
     fn overdue_after(&self, circuit: &Circuit) -> Duration {
-        let mean = circuit.mean.unwrap_or(self.card.recovery_delay.as_secs_f64() / 2.0);
+        let mean = circuit.mean.or(self.pace).unwrap_or(self.card.recovery_delay.as_secs_f64() / 2.0);
         seconds(mean * (OVERDUE_MEANS + OVERDUE_SHARED / circuit.calls_out.max(1) as f64))
             .max(self.card.recovery_delay / 4)
     }
@@ -406,8 +406,10 @@
                 circuit.told_wait /= 2;
                 circuit.last_answer = now;
                 let took = now.saturating_sub(sent).as_secs_f64();
-                let mean = circuit.mean.unwrap_or(took);
-                circuit.mean = Some(mean + MEAN_STEP * (took - mean));
+                for mean in [&mut circuit.mean, &mut self.pace] {
+                    *mean = Some(mean.map_or(took, |mean| mean + MEAN_STEP * (took - mean)));
+                }
+                self.last_answer = now;
                 if circuit.rejoin.is_some_and(|calls| calls >= card.slots) {
                     circuit.rejoin = None;
                 }
@@ -485,7 +487,11 @@
         // A further dispatch goes where answers have earned it, or where nothing was sent for a usual gap, or
         // late enough to add little: the promised time after the first, twice that after the next.
         let idle = seconds(1.0 / self.usual_rate(target, now).max(0.01)).max(self.card.recovery_delay);
-        let rest = self.card.categories[envelope.category].promised * (1 << envelope.dispatches.min(8)) / 2;
+        // What may have run has waited for its answer already.
+        let promised = self.card.categories[envelope.category].promised;
+        let unsure = envelope.may_have_run.is_some();
+        let rest =
+            if unsure { self.card.recovery_delay } else { promised * (1 << envelope.dispatches.min(8)) / 2 };
         envelope.dispatches == 0
             || target.earned >= 1.0
             || now.saturating_sub(target.last_sent) >= idle
@@ -522,7 +528,7 @@
         let category = &self.card.categories[envelope.category];
         let left = envelope.outer_limit.saturating_sub(now);
         let circuit = self.circuits.get(&route);
-        let mean = circuit.and_then(|c| c.mean).unwrap_or(0.0);
+        let mean = circuit.and_then(|c| c.mean).or(self.pace).unwrap_or(0.0);
         let growth = TIME_OUT_GROWTH.powi(circuit.map_or(0, |c| c.time_outs.min(2)) as i32);
         // Cutting off an effectful call loses the envelope, so that it gets twice the time.
         let patience = if category.effect == Effect::Effectful { EFFECTFUL_PATIENCE } else { 1.0 };
@@ -593,22 +599,20 @@
     /// is most overdue is called off, the more readily as it may run again elsewhere. Covers hanging, silent
     /// and very slow destinations; it can harm by repeating work that would still have been answered.
     fn free_slot(&mut self, now: Duration, host: &mut dyn Host, wake: &mut Option<Duration>) {
-        // Newest answer of a route that an envelope waits to go to; where all are slow alike, none is called
-        // off.
-        let mut lively = Duration::ZERO;
-        for id in &self.waiting {
-            for target in &self.destinations[id].targets {
+        // Somebody must wait for the slot, and something have answered since the call was sent: where all are
+        // slow alike, none is called off.
+        let open = |id: &DestinationId| {
+            self.destinations[id].targets.iter().any(|target| {
                 let t = &self.targets[target];
-                let route = self.route_of(*target, t);
-                let Some(circuit) = self.circuits.get(&route) else { continue };
-                let open = t.standing == Standing::Active && self.admit(route, t, now) == Leave::Send;
-                if open && circuit.last_answer > lively && !self.ranked(*id, now).is_empty() {
-                    lively = circuit.last_answer;
-                }
-            }
+                let may = t.standing == Standing::Active;
+                may && self.admit(self.route_of(*target, t), t, now) == Leave::Send
+            })
+        };
+        if !self.waiting.iter().any(open) {
+            return;
         }
         let mut worst: Option<(f64, (EnvelopeId, DispatchNo))> = None;
-        for (key, d) in self.dispatches.iter().filter(|(_, d)| !d.called_off && d.sent < lively) {
+        for (key, d) in self.dispatches.iter().filter(|(_, d)| !d.called_off && d.sent < self.last_answer) {
             let Some(circuit) = self.circuits.get(&d.route).filter(|c| c.last_answer <= d.sent) else {
                 continue;
             };
--- a/src/state.rs
+++ b/src/state.rs
@@ -156,6 +156,9 @@
     pub circuits: BTreeMap<Route, Circuit>,
     pub keys: BTreeMap<KeyId, KeyLine>,
     pub tenants: Vec<Tenant>,
+    /// Running mean of all response times, for routes that have none of their own, and the last answer.
+    pub pace: Option<f64>,
+    pub last_answer: Duration,
     /// For each kind of destination, the share of calls that found no connection.
     pub crowds: Vec<f64>,
     /// Targets named so far by a whole list that is being told.
@@ -182,6 +185,8 @@
             circuits: BTreeMap::new(),
             keys: BTreeMap::new(),
             tenants,
+            pace: None,
+            last_answer: Duration::ZERO,
             crowds,
             telling: None,
             asked_list: now,
