--- a/src/control.rs
+++ b/src/control.rs
@@ -528,7 +528,7 @@
         let category = &self.card.categories[envelope.category];
         let left = envelope.outer_limit.saturating_sub(now);
         let circuit = self.circuits.get(&route);
-        let mean = circuit.and_then(|c| c.mean).or(self.pace).unwrap_or(0.0);
+        let mean = circuit.and_then(|c| c.mean).unwrap_or(0.0);
         let growth = TIME_OUT_GROWTH.powi(circuit.map_or(0, |c| c.time_outs.min(2)) as i32);
         // Cutting off an effectful call loses the envelope, so that it gets twice the time.
         let patience = if category.effect == Effect::Effectful { EFFECTFUL_PATIENCE } else { 1.0 };
@@ -599,20 +599,23 @@
     /// is most overdue is called off, the more readily as it may run again elsewhere. Covers hanging, silent
     /// and very slow destinations; it can harm by repeating work that would still have been answered.
     fn free_slot(&mut self, now: Duration, host: &mut dyn Host, wake: &mut Option<Duration>) {
-        // Somebody must wait for the slot, and something have answered since the call was sent: where all are
-        // slow alike, none is called off.
-        let open = |id: &DestinationId| {
-            self.destinations[id].targets.iter().any(|target| {
+        // Newest answer of a route that an envelope waits to go to, or of any where that route has not been
+        // heard of lately; where all are slow alike, none is called off.
+        let mut lively = Duration::ZERO;
+        for id in &self.waiting {
+            for target in &self.destinations[id].targets {
                 let t = &self.targets[target];
-                let may = t.standing == Standing::Active;
-                may && self.admit(self.route_of(*target, t), t, now) == Leave::Send
-            })
-        };
-        if !self.waiting.iter().any(open) {
-            return;
+                let route = self.route_of(*target, t);
+                if t.standing != Standing::Active || self.admit(route, t, now) != Leave::Send {
+                    continue;
+                }
+                let heard = self.circuits.get(&route).map_or(Duration::ZERO, |c| c.last_answer);
+                let lately = heard > Duration::ZERO && now.saturating_sub(heard) < self.card.window;
+                lively = lively.max(if lately { heard } else { self.last_answer });
+            }
         }
         let mut worst: Option<(f64, (EnvelopeId, DispatchNo))> = None;
-        for (key, d) in self.dispatches.iter().filter(|(_, d)| !d.called_off && d.sent < self.last_answer) {
+        for (key, d) in self.dispatches.iter().filter(|(_, d)| !d.called_off && d.sent < lively) {
             let Some(circuit) = self.circuits.get(&d.route).filter(|c| c.last_answer <= d.sent) else {
                 continue;
             };
