--- a/src/control.rs
+++ b/src/control.rs
@@ -487,11 +487,7 @@
         // A further dispatch goes where answers have earned it, or where nothing was sent for a usual gap, or
         // late enough to add little: the promised time after the first, twice that after the next.
         let idle = seconds(1.0 / self.usual_rate(target, now).max(0.01)).max(self.card.recovery_delay);
-        // What may have run has waited for its answer already.
-        let promised = self.card.categories[envelope.category].promised;
-        let unsure = envelope.may_have_run.is_some();
-        let rest =
-            if unsure { self.card.recovery_delay } else { promised * (1 << envelope.dispatches.min(8)) / 2 };
+        let rest = self.card.categories[envelope.category].promised * (1 << envelope.dispatches.min(8)) / 2;
         envelope.dispatches == 0
             || target.earned >= 1.0
             || now.saturating_sub(target.last_sent) >= idle
