--- a/src/control.rs
+++ b/src/control.rs
@@ -488,10 +488,13 @@
         // late enough to add little: the promised time after the first, twice that after the next.
         let idle = seconds(1.0 / self.usual_rate(target, now).max(0.01)).max(self.card.recovery_delay);
         let rest = self.card.categories[envelope.category].promised * (1 << envelope.dispatches.min(8)) / 2;
+        // Nor while most slots are out: refused again, it would take the place of one that may be answered.
+        let spare = envelope.may_have_run.is_some() || 2 * self.calls.len() < self.card.slots;
         envelope.dispatches == 0
             || target.earned >= 1.0
-            || now.saturating_sub(target.last_sent) >= idle
-            || now.saturating_sub(envelope.last_sent) >= rest
+            || spare
+                && (now.saturating_sub(target.last_sent) >= idle
+                    || now.saturating_sub(envelope.last_sent) >= rest)
     }
 
     /// Two drawn at random, the one that the forwarder's own counts favour is taken.
