--- a/src/control.rs
+++ b/src/control.rs
@@ -42,8 +42,9 @@
 /// calls that are out.
 const OVERDUE_MEANS: f64 = 1.5;
 const OVERDUE_SHARED: f64 = 4.0;
-/// Further dispatches that a target has to its credit at first, at most, and for each answer.
-const EARNED_FIRST: f64 = 0.0;
+/// Further dispatches that a target has to its credit: at first with all forwarders together, at most with
+/// one of them, and for each answer.
+const EARNED_FIRST: f64 = 6.0;
 const EARNED_MOST: f64 = 5.0;
 const EARNED_PER_ANSWER: f64 = 0.25;
 /// Time-outs in mean response times, of ordinary calls (measured at 8, 12, 16) and of trials; so many times
@@ -484,17 +485,26 @@
                 return false;
             }
         }
-        // A further dispatch goes where answers have earned it, or where nothing was sent for a usual gap, or
-        // late enough to add little: the promised time after the first, twice that after the next.
-        let idle = seconds(1.0 / self.usual_rate(target, now).max(0.01)).max(self.card.recovery_delay);
-        let rest = self.card.categories[envelope.category].promised * (1 << envelope.dispatches.min(8)) / 2;
-        // Nor while most slots are out: refused again, it would take the place of one that may be answered.
-        let spare = envelope.may_have_run.is_some() || 2 * self.calls.len() < self.card.slots;
-        envelope.dispatches == 0
-            || target.earned >= 1.0
-            || spare
-                && (now.saturating_sub(target.last_sent) >= idle
-                    || now.saturating_sub(envelope.last_sent) >= rest)
+        // A further dispatch goes where answers have earned it, or where nothing was sent for a while. What was
+        // refused may also go by the spacing alone, where a forwarder's own calls are many enough to learn that.
+        let usual = self.usual_rate(target, now).max(0.01);
+        let promised = self.card.categories[envelope.category].promised;
+        let idle = now.saturating_sub(target.last_sent);
+        if envelope.dispatches == 0 || target.earned >= 1.0 {
+            return true;
+        }
+        if envelope.may_have_run.is_some() {
+            return idle >= self.card.recovery_delay;
+        }
+        if usual * promised.as_secs_f64() >= 1.0 {
+            return true;
+        }
+        // Where they are few, it goes after a usual gap or late enough to add little: after the promised time,
+        // then twice that. And not while most slots are out: refused again, it would take the place of one
+        // that may be answered.
+        let rest = promised * (1 << envelope.dispatches.min(8)) / 2;
+        2 * self.calls.len() < self.card.slots
+            && (idle >= seconds(1.0 / usual) || now.saturating_sub(envelope.last_sent) >= rest)
     }
 
     /// Two drawn at random, the one that the forwarder's own counts favour is taken.
@@ -916,7 +926,8 @@
     /// One line of the list of targets, between [`Forwarder::list_begins`] and [`Forwarder::list_ends`].
     pub fn listed(&mut self, listing: Listing) {
         let kind = self.card.kinds.iter().position(|k| k.0 == listing.kind);
-        self.enter(&listing, kind, EARNED_FIRST);
+        let earned = (EARNED_FIRST / self.card.forwarders).min(EARNED_MOST);
+        self.enter(&listing, kind, earned);
     }
 
     /// Asking for the list failed; the old one stands.
