--- a/src/control.rs
+++ b/src/control.rs
@@ -629,14 +629,16 @@
                 continue;
             };
             let Some(envelope) = self.envelopes.get(&key.0) else { continue };
-            // Calling off an effectful one loses it, so that it takes a target that can't be reached any
-            // more.
+            // Calling off an effectful one loses it, so that it takes longer, or a target that can't be reached
+            // any more.
             let unreachable = self.targets.get(&d.target).and_then(|t| t.unreachable);
             let effectful = self.card.categories[envelope.category].effect == Effect::Effectful;
-            if effectful && unreachable.is_none_or(|since| since < d.sent) {
-                continue;
-            }
-            let allowed = self.overdue_after(circuit);
+            let patience = if effectful && unreachable.is_none_or(|since| since < d.sent) {
+                EFFECTFUL_PATIENCE
+            } else {
+                1.0
+            };
+            let allowed = self.overdue_after(circuit).mul_f64(patience);
             let age = now.saturating_sub(d.sent);
             let ratio = age.as_secs_f64() / allowed.as_secs_f64();
             if ratio < 1.0 {
