--- a/src/control.rs
+++ b/src/control.rs
@@ -65,39 +65,6 @@
 
 // # The rate card: what the terms come down to.
 
-/// One category, in the figures that decisions use.
-pub struct CategoryRate {
-    name: String,
-    effect: Effect,
-    promised: Duration,
-    outer_limit: Duration,
-    ordered: bool,
-    /// Categories by falling credit; those of equal credit share a place.
-    place: usize,
-}
-
-/// What is derived from the terms at start. The terms themselves are not kept.
-pub struct RateCard {
-    categories: Vec<CategoryRate>,
-    kinds: Vec<(String, bool, usize)>,
-    tenants: Vec<(String, f64)>,
-    zone: String,
-    forwarders: f64,
-    slots: usize,
-    room: usize,
-    dispatch_cap: u32,
-    come_back: Option<Duration>,
-    window: Duration,
-    recovery_delay: Duration,
-    cold_from: f64,
-    warm_within: Duration,
-    fall_multiple: f64,
-    tip_after: Duration,
-    key_rest: Duration,
-    ask_within: Option<Duration>,
-    weights_are_rates: bool,
-}
-
 impl RateCard {
     fn derive(terms: Terms) -> RateCard {
         let credits: Vec<f64> = terms.categories.iter().map(|c| finite(c.credit, 1.0)).collect();
@@ -148,20 +115,6 @@
     }
 }
 
-impl RateCard {
-    pub(crate) fn kinds_told(&self) -> usize {
-        self.kinds.len()
-    }
-}
-
-fn finite(value: Option<f64>, otherwise: f64) -> f64 {
-    value.filter(|v| v.is_finite() && *v >= 0.0).unwrap_or(otherwise)
-}
-
-fn seconds(s: f64) -> Duration {
-    Duration::try_from_secs_f64(s.max(0.0)).unwrap_or(Duration::from_secs(86_400))
-}
-
 // # The circuit, as the design page has it.
 
 /// What a circuit says to a delivery.
@@ -241,23 +194,6 @@
 // # Guards around the circuit.
 
 impl Forwarder {
-    fn apart(&self, target: &Target) -> bool {
-        target.kind.and_then(|k| self.card.kinds.get(k)).is_some_and(|k| k.1)
-    }
-
-    /// Envelopes in one call to a target at most.
-    fn batch(&self, target: &Target) -> usize {
-        target.kind.and_then(|k| self.card.kinds.get(k)).map_or(1, |k| k.2)
-    }
-
-    fn route_of(&self, id: TargetId, target: &Target) -> Route {
-        if self.apart(target) {
-            Route::Apart(id)
-        } else {
-            Route::Shared(target.destination)
-        }
-    }
-
     /// Envelopes a second that this forwarder usually has for a target. All forwarders together have no more
     /// than the destination takes on a usual day, so that shares of it add up to shares of its capacity,
     /// however unevenly the traffic is spread over them.
@@ -390,11 +326,7 @@
         // ones.
         let usual = self.usual_rate(target, now) * of_route.len() as f64 / self.batch(target) as f64;
         let most = (self.card.forwarders / LEAST_CAPACITY).min(2.0 / usual.max(0.01));
-        let members = of_route.iter().filter_map(|t| self.targets.get(t));
-        let troubled = members.clone().any(|t| t.trouble.is_some());
-        // Calls that this forwarder has sent to the route of late.
-        let lately = members.flat_map(|t| &t.pushes);
-        let lately = lately.filter(|p| now.saturating_sub(p.0) < self.card.tip_after).count();
+        let troubled = of_route.iter().any(|t| self.targets.get(t).is_some_and(|t| t.trouble.is_some()));
         let card = &self.card;
         let circuit = self.circuits.entry(route).or_default();
         let Some(target) = self.targets.get_mut(&id) else { return };
@@ -418,7 +350,6 @@
                     circuit.rejoin = None;
                 }
                 target.strikes.remove(&dispatch.category);
-                target.unreachable = None;
                 target.earned = (target.earned + EARNED_PER_ANSWER).min(EARNED_MOST);
             }
             Outcome::Full(wait) => {
@@ -436,12 +367,7 @@
                 }
                 // Calls out together that are refused together count once.
                 if wait.is_none() && sent >= circuit.spaced_at {
-                    let first = if lately > 1 {
-                        SPACING_GROWTH * card.tip_after.as_secs_f64() / lately as f64
-                    } else {
-                        card.recovery_delay.as_secs_f64() / 8.0
-                    };
-                    let first = first.max(FIRST_GAP / usual.max(0.01));
+                    let first = FIRST_GAP / usual.max(0.01);
                     circuit.spacing = (circuit.spacing * SPACING_GROWTH).max(first).min(most);
                     circuit.spaced_at = now;
                 }
@@ -451,10 +377,7 @@
                 *target.strikes.entry(dispatch.category).or_default() += 1;
                 match failure {
                     // No connection was made: the call never reached the destination, and pushed nothing.
-                    Outcome::NoConnection => {
-                        target.pushes.pop_back();
-                        target.unreachable = Some(now);
-                    }
+                    Outcome::NoConnection => drop(target.pushes.pop_back()),
                     Outcome::TimedOut => circuit.time_outs += 1,
                     _ => {}
                 }
@@ -632,15 +555,9 @@
                 continue;
             };
             let Some(envelope) = self.envelopes.get(&key.0) else { continue };
-            // Calling off an effectful one loses it, so that it takes longer, or a target that can't be reached
-            // any more.
-            let unreachable = self.targets.get(&d.target).and_then(|t| t.unreachable);
+            // Calling off an effectful one loses it, so that it takes longer.
             let effectful = self.card.categories[envelope.category].effect == Effect::Effectful;
-            let patience = if effectful && unreachable.is_none_or(|since| since < d.sent) {
-                EFFECTFUL_PATIENCE
-            } else {
-                1.0
-            };
+            let patience = if effectful { EFFECTFUL_PATIENCE } else { 1.0 };
             let allowed = self.overdue_after(circuit).mul_f64(patience);
             let age = now.saturating_sub(d.sent);
             let ratio = age.as_secs_f64() / allowed.as_secs_f64();
@@ -743,13 +660,9 @@
         // Many envelopes in one call push a cold target more than one does.
         let fits = 1.0 + (self.push_room(&self.targets[&target], now).unwrap_or(1.0) - 1.0) / PUSH_PER_EXTRA;
         let batch = if trial { 1 } else { self.batch(&self.targets[&target]).min(fits as usize) };
-        let lead = lead.clone();
-        let mut going = vec![lead.clone()];
-        for id in ranked.iter().filter(|id| **id != lead).take(batch - 1) {
-            if self.may_go(&self.envelopes[id], target, &self.targets[&target], now) {
-                going.push(id.clone());
-            }
-        }
+        let may = |id: &&EnvelopeId| self.may_go(&self.envelopes[*id], target, &self.targets[&target], now);
+        let others = ranked.iter().filter(|id| *id != lead).take(batch - 1).filter(may);
+        let going = std::iter::once(lead).chain(others).cloned().collect();
         self.dispatch(going, target, route, trial, now, host);
         true
     }
@@ -797,17 +710,6 @@
     }
 }
 
-/// Failures of a category at a target since that answered it.
-fn strikes(target: &Target, category: usize) -> u32 {
-    target.strikes.get(&category).copied().unwrap_or_default()
-}
-
-fn sooner(wake: &mut Option<Duration>, at: Option<Duration>) {
-    if let Some(at) = at {
-        *wake = Some(wake.map_or(at, |w| w.min(at)));
-    }
-}
-
 /// The step that a dispatch leaves behind: hold the envelope again where its category and what is known of
 /// the dispatch allow that, else break it off.
 fn after_dispatch(id: EnvelopeId, target: TargetId, sent: Duration) -> Next {
@@ -1080,12 +982,6 @@
         }
     }
 
-    /// A probe has ended.
-    pub fn probed(&mut self, _now: Duration, _target: TargetId, _well: bool) {}
-
-    /// Another forwarder has sent a note.
-    pub fn told(&mut self, _now: Duration, _from: PeerId, _note: &[u8]) {}
-
     /// The answer to a dispatch has begun: the envelope is the client's now, and other copies are of no use.
     pub fn begun(&mut self, _now: Duration, id: &EnvelopeId, no: DispatchNo, host: &mut dyn Host) {
         let Some(envelope) = self.envelopes.get(id) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use crate::chance::Chance;
-use crate::control::RateCard;
-use crate::host::{DestinationId, DispatchNo, EnvelopeId, Host, KeyId, Listing, Outcome, Standing, TargetId};
+use crate::host::{
+    DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, Listing, Outcome, PeerId, Standing, TargetId,
+};
 
 /// What comes next for an envelope once its dispatch has ended; the end is handed to it.
 pub type Next = Box<dyn FnOnce(&mut Forwarder, &mut dyn Host, Duration, Outcome) + Send>;
@@ -20,6 +21,39 @@
     Apart(TargetId),
 }
 
+/// One category, in the figures that decisions use.
+pub struct CategoryRate {
+    pub(crate) name: String,
+    pub(crate) effect: Effect,
+    pub(crate) promised: Duration,
+    pub(crate) outer_limit: Duration,
+    pub(crate) ordered: bool,
+    /// Categories by falling credit; those of equal credit share a place.
+    pub(crate) place: usize,
+}
+
+/// What is derived from the terms at start. The terms themselves are not kept.
+pub struct RateCard {
+    pub(crate) categories: Vec<CategoryRate>,
+    pub(crate) kinds: Vec<(String, bool, usize)>,
+    pub(crate) tenants: Vec<(String, f64)>,
+    pub(crate) zone: String,
+    pub(crate) forwarders: f64,
+    pub(crate) slots: usize,
+    pub(crate) room: usize,
+    pub(crate) dispatch_cap: u32,
+    pub(crate) come_back: Option<Duration>,
+    pub(crate) window: Duration,
+    pub(crate) recovery_delay: Duration,
+    pub(crate) cold_from: f64,
+    pub(crate) warm_within: Duration,
+    pub(crate) fall_multiple: f64,
+    pub(crate) tip_after: Duration,
+    pub(crate) key_rest: Duration,
+    pub(crate) ask_within: Option<Duration>,
+    pub(crate) weights_are_rates: bool,
+}
+
 /// Lives from a dispatch to its outcome.
 pub struct Dispatch {
     pub target: TargetId,
@@ -88,8 +122,6 @@
     pub calls_out: u32,
     /// Failures of each category since its last answer.
     pub strikes: BTreeMap<usize, u32>,
-    /// When a connection to it failed, if it has not answered since.
-    pub unreachable: Option<Duration>,
     /// Last evidence that it may be down or cold.
     pub trouble: Option<Duration>,
     pub pushes: VecDeque<(Duration, f64)>,
@@ -173,7 +205,7 @@
 
 impl Forwarder {
     pub(crate) fn new(card: RateCard, chance: Chance, tenants: Vec<Tenant>, now: Duration) -> Forwarder {
-        let crowds = vec![0.0; card.kinds_told()];
+        let crowds = vec![0.0; card.kinds.len()];
         Forwarder {
             card,
             chance,
@@ -226,7 +258,6 @@
             earned,
             calls_out: 0,
             strikes: BTreeMap::new(),
-            unreachable: None,
             trouble: None,
             pushes: VecDeque::new(),
             last_sent: Duration::ZERO,
@@ -338,4 +369,46 @@
             }
         }
     }
+
+    pub(crate) fn apart(&self, target: &Target) -> bool {
+        target.kind.and_then(|k| self.card.kinds.get(k)).is_some_and(|k| k.1)
+    }
+
+    /// Envelopes in one call to a target at most.
+    pub(crate) fn batch(&self, target: &Target) -> usize {
+        target.kind.and_then(|k| self.card.kinds.get(k)).map_or(1, |k| k.2)
+    }
+
+    pub(crate) fn route_of(&self, id: TargetId, target: &Target) -> Route {
+        if self.apart(target) {
+            Route::Apart(id)
+        } else {
+            Route::Shared(target.destination)
+        }
+    }
+
+    /// A probe has ended.
+    pub fn probed(&mut self, _now: Duration, _target: TargetId, _well: bool) {}
+
+    /// Another forwarder has sent a note.
+    pub fn told(&mut self, _now: Duration, _from: PeerId, _note: &[u8]) {}
+}
+
+pub(crate) fn finite(value: Option<f64>, otherwise: f64) -> f64 {
+    value.filter(|v| v.is_finite() && *v >= 0.0).unwrap_or(otherwise)
+}
+
+pub(crate) fn seconds(s: f64) -> Duration {
+    Duration::try_from_secs_f64(s.max(0.0)).unwrap_or(Duration::from_secs(86_400))
+}
+
+/// Failures of a category at a target since that answered it.
+pub(crate) fn strikes(target: &Target, category: usize) -> u32 {
+    target.strikes.get(&category).copied().unwrap_or_default()
+}
+
+pub(crate) fn sooner(wake: &mut Option<Duration>, at: Option<Duration>) {
+    if let Some(at) = at {
+        *wake = Some(wake.map_or(at, |w| w.min(at)));
+    }
 }
