--- a/src/control.rs
+++ b/src/control.rs
@@ -214,11 +214,14 @@
     /// Guard for rule 4. Symptom: a target that failed calls, or refused all, may be on its way back, and
     /// cold. Also covers one that fails on part of its calls. It can harm one that was never cold, by pacing
     /// it for some seconds after a time-out.
-    fn push_room(&self, target: &Target, now: Duration) -> Result<f64, Duration> {
+    fn push_room(&self, route: Route, target: &Target, now: Duration) -> Result<f64, Duration> {
         let Some(trouble) = target.trouble else { return Ok(f64::MAX) };
         let card = &self.card;
-        // The middle of the span that the budget is counted over.
-        let warmed = now.saturating_sub(trouble + card.tip_after / 2).as_secs_f64();
+        // The middle of the span that the budget is counted over. What has not answered since may still be down,
+        // and seen by so many forwarders that sooner calls of each would push it over.
+        let answered = self.circuits.get(&route).is_some_and(|c| c.last_answer >= trouble);
+        let down = if answered { Duration::ZERO } else { card.warm_within };
+        let warmed = now.saturating_sub(trouble + down + card.tip_after / 2).as_secs_f64();
         let share =
             card.cold_from + (1.0 - card.cold_from) * warmed / card.warm_within.as_secs_f64().max(0.001);
         if share >= 1.0 {
@@ -259,7 +262,7 @@
         if trials >= 1.0 {
             return card.recovery_delay;
         }
-        card.recovery_delay.max(seconds(card.tip_after.as_secs_f64() / trials).min(card.warm_within))
+        card.recovery_delay.max(seconds(card.tip_after.as_secs_f64() / trials).min(2 * card.warm_within))
     }
 
     /// How long no answer may come before the route counts as silent: the more calls are out, the sooner.
@@ -307,7 +310,7 @@
                 return Leave::Hold(None);
             }
         }
-        match self.push_room(target, now) {
+        match self.push_room(route, target, now) {
             Err(at) => Leave::Hold(Some(at)),
             Ok(_) => Leave::Send,
         }
@@ -425,12 +428,11 @@
         if usual * promised.as_secs_f64() >= 1.0 {
             return true;
         }
-        // Where they are few, it goes after a usual gap or late enough to add little: after the promised time,
-        // then twice that. And not while most slots are out: refused again, it would take the place of one
-        // that may be answered.
-        let rest = promised * (1 << envelope.dispatches.min(8)) / 2;
-        2 * self.calls.len() < self.card.slots
-            && (idle >= seconds(1.0 / usual) || now.saturating_sub(envelope.last_sent) >= rest)
+        // Where they are few, it goes after a usual gap, and once after the promised time: more repeats of many
+        // forwarders that each see little would push over a destination that was shut. And not while most slots
+        // are out: refused again, it would take the place of one that may be answered.
+        let waited = envelope.dispatches == 1 && now.saturating_sub(envelope.last_sent) >= promised;
+        2 * self.calls.len() < self.card.slots && (waited || idle >= seconds(1.0 / usual))
     }
 
     /// Two drawn at random, the one that the forwarder's own counts favour is taken.
@@ -526,7 +528,7 @@
             while target.pushes.len() > 1 && now.saturating_sub(target.pushes[0].0) > tip_after {
                 target.pushes.pop_front();
             }
-            target.trouble = target.trouble.filter(|t| now <= *t + tip_after + self.card.warm_within);
+            target.trouble = target.trouble.filter(|t| now <= *t + tip_after + 2 * self.card.warm_within);
         }
     }
 
@@ -658,7 +660,8 @@
         let target = self.choose(&able, category);
         let route = open[&target].0;
         // Many envelopes in one call push a cold target more than one does.
-        let fits = 1.0 + (self.push_room(&self.targets[&target], now).unwrap_or(1.0) - 1.0) / PUSH_PER_EXTRA;
+        let fits =
+            1.0 + (self.push_room(route, &self.targets[&target], now).unwrap_or(1.0) - 1.0) / PUSH_PER_EXTRA;
         let batch = if trial { 1 } else { self.batch(&self.targets[&target]).min(fits as usize) };
         let may = |id: &&EnvelopeId| self.may_go(&self.envelopes[*id], target, &self.targets[&target], now);
         let others = ranked.iter().filter(|id| *id != lead).take(batch - 1).filter(may);
