--- a/src/control.rs
+++ b/src/control.rs
@@ -325,8 +325,7 @@
             (Route::Shared(_), Some(d)) => d.targets.iter().copied().collect(),
             _ => vec![id],
         };
-        // A route takes at least half of what it is usually sent, in so many calls or in fewer and fuller
-        // ones.
+        // A route takes at least half of what it is usually sent, in so many calls or in fewer, fuller ones.
         let usual = self.usual_rate(target, now) * of_route.len() as f64 / self.batch(target) as f64;
         let most = (self.card.forwarders / LEAST_CAPACITY).min(2.0 / usual.max(0.01));
         let troubled = of_route.iter().any(|t| self.targets.get(t).is_some_and(|t| t.trouble.is_some()));
@@ -957,10 +956,9 @@
         }
     }
 
-    /// Symptom: connections to targets of a kind are not made. They may take only so many, and idle ones of
-    /// many forwarders that seldom call fill them; where these are more than the calls that one forwarder may
-    /// have out, each is closed after its call. Also eases destinations that are short of memory for them; it
-    /// can harm by new connections that cost time, where none was made because the target was down.
+    /// Symptom: connections to targets of a kind are not made. They take only so many, and idle ones of many
+    /// forwarders fill them; where these are more than one's slots, each is closed after its call. Also eases
+    /// destinations short of memory; it can harm where none was made because the target was down.
     fn leave_connection(&mut self, id: TargetId, outcome: Outcome, host: &mut dyn Host) {
         let Some(target) = self.targets.get(&id) else { return };
         let Some(crowd) = target.kind.and_then(|k| self.crowds.get_mut(k)) else { return };
