--- a/src/control.rs
+++ b/src/control.rs
@@ -217,8 +217,8 @@
     fn push_room(&self, route: Route, target: &Target, now: Duration) -> Result<f64, Duration> {
         let Some(trouble) = target.trouble else { return Ok(f64::MAX) };
         let card = &self.card;
-        // The middle of the span that the budget is counted over. What has not answered since may still be down,
-        // and seen by so many forwarders that sooner calls of each would push it over.
+        // The middle of the span that the budget is counted over. What has not answered since may still be
+        // down, and seen by so many forwarders that sooner calls of each would push it over.
         let answered = self.circuits.get(&route).is_some_and(|c| c.last_answer >= trouble);
         let down = if answered { Duration::ZERO } else { card.warm_within };
         let warmed = now.saturating_sub(trouble + down + card.tip_after / 2).as_secs_f64();
@@ -413,8 +413,8 @@
                 return false;
             }
         }
-        // A further dispatch goes where answers have earned it, or where nothing was sent for a while. What was
-        // refused may also go by the spacing alone, where a forwarder's own calls are many enough to learn that.
+        // A further dispatch goes where answers have earned it, or where nothing was sent for a while. What
+        // was refused may also go by the spacing alone, where own calls are many enough to learn that.
         let usual = self.usual_rate(target, now).max(0.01);
         let promised = self.card.categories[envelope.category].promised;
         let idle = now.saturating_sub(target.last_sent);
@@ -427,9 +427,9 @@
         if usual * promised.as_secs_f64() >= 1.0 {
             return true;
         }
-        // Where they are few, it goes after a usual gap, and once after the promised time: more repeats of many
-        // forwarders that each see little would push over a destination that was shut. And not while most slots
-        // are out: refused again, it would take the place of one that may be answered.
+        // Where they are few, it goes after a usual gap, and once after the promised time: more repeats of
+        // many forwarders that see little would push over a destination that was shut. And not while most
+        // slots are out: refused again, it would take the place of one that may be answered.
         let waited = envelope.dispatches == 1 && now.saturating_sub(envelope.last_sent) >= promised;
         2 * self.calls.len() < self.card.slots && (waited || idle >= seconds(1.0 / usual))
     }
@@ -646,8 +646,8 @@
         };
         let trial = repeatable(&lead) && !able(lead, true).is_empty() || able(lead, false).is_empty();
         let mut able = able(lead, trial);
-        // Symptom: one target of a destination fails, or fails one category, while what else answers keeps the
-        // circuit shut. It can harm by resting a target for a call that was lost alone.
+        // Symptom: one target of a destination fails, or fails one category, while what else answers keeps
+        // the circuit shut. It can harm by resting a target for a call that was lost alone.
         let category = self.envelopes[lead].category;
         let rested = |id: &TargetId| {
             let t = &self.targets[id];
@@ -976,8 +976,8 @@
 
     /// A wake that was asked for has come.
     pub fn alarm(&mut self, now: Duration) {
-        // Symptom: an envelope outlives its limit, as a host's timer rounds down, and a wake that has come a hair
-        // early was still waited for.
+        // Symptom: an envelope outlives its limit, as a host's timer rounds down, and a wake that has come a
+        // hair early was still waited for.
         if self.wake_at.is_some_and(|at| at <= now + LEAST_WAKE) {
             self.wake_at = None;
         }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -11,6 +11,7 @@
     CalledOff(String, u32),
     Shed(String, Option<Duration>),
     BrokenOff(String),
+    ClosedIdle(u32),
 }
 
 #[derive(Default)]
@@ -36,7 +37,9 @@
         self.wakes.push(after);
     }
     fn probe(&mut self, _target: TargetId) {}
-    fn close_idle(&mut self, _target: TargetId) {}
+    fn close_idle(&mut self, target: TargetId) {
+        self.asked.push(Asked::ClosedIdle(target.0));
+    }
     fn tell(&mut self, _peer: Option<PeerId>, _note: &[u8]) {}
     fn subscribe(&mut self, _on: bool) {}
     fn fetch_list(&mut self) {}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -296,6 +296,64 @@
     assert!(lost <= 4 && kept >= 10, "{lost} lost, {kept} of the other category served there");
 }
 
+/// One of many forwarders, which sees little of each destination.
+fn one_of_many(targets: &[(u32, u64, &str)]) -> Story {
+    let mut story = Story::new(Terms { forwarders: Some(60), ..terms() });
+    story.list(true, targets, Standing::Active);
+    story
+}
+
+#[test]
+fn one_of_many_sends_what_was_refused_once_more_only() {
+    let mut story = one_of_many(ONE);
+    story.hand_in("a", "note", 9);
+    assert_eq!(story.sent_after(ms(0)), ["a"]);
+    story.ends("a", 0, Outcome::Full(None));
+    assert!(story.sent_after(ms(1900)).is_empty(), "not before the promised time");
+    let mut again = Vec::new();
+    for _ in 0..12 {
+        again.extend(story.sent_after(ms(500)));
+    }
+    assert_eq!(again, ["a"]);
+    story.ends("a", 1, Outcome::Full(None));
+    for _ in 0..12 {
+        assert!(story.sent_after(ms(500)).is_empty());
+    }
+}
+
+#[test]
+fn one_of_many_closes_connections_where_others_fail_to_get_one() {
+    let mut story = one_of_many(&[(1, 9, "shared"), (2, 8, "shared")]);
+    story.hand_in("a", "note", 9);
+    story.after(ms(0));
+    story.ends("a", 0, Outcome::NoConnection);
+    story.hand_in("b", "note", 8);
+    story.after(ms(0));
+    story.ends("b", 0, Outcome::Completed);
+    assert!(story.after(ms(0)).contains(&Asked::ClosedIdle(2)), "of the same kind, and may be as full");
+}
+
+#[test]
+fn routes_apart_get_calls_by_their_listed_rates() {
+    let mut story = Story::with(&[]);
+    story.forwarder.list_begins(true);
+    for (target, rate) in [(1, 12.0), (2, 2.0)] {
+        let (target, destination, standing) = (TargetId(target), DestinationId(9), Standing::Active);
+        let listing = Listing { target, destination, standing, weight: Some(rate), zone: "z", kind: "apart" };
+        story.forwarder.listed(listing);
+    }
+    story.forwarder.list_ends();
+    let mut to_small = 0;
+    for n in 0..100 {
+        let name = format!("e{n}");
+        story.hand_in(&name, "note", 9);
+        let Some(Asked::Sent(_, to, _)) = story.after(ms(100)).pop() else { panic!("held") };
+        to_small += u32::from(to == 2);
+        story.ends(&name, 0, Outcome::Completed);
+    }
+    assert!((2..=30).contains(&to_small), "{to_small} of a hundred");
+}
+
 #[test]
 fn odd_lists_and_clocks_lose_no_envelope() {
     let mut story = Story::with(&[(1, 9, "shared"), (2, 8, "unheard")]);
