--- a/src/control.rs
+++ b/src/control.rs
@@ -98,6 +98,7 @@
             tenants: terms.tenants.into_iter().map(|(n, r)| (n, finite(r, f64::MAX))).collect(),
             zone: terms.zone,
             forwarders: terms.forwarders.unwrap_or(1).max(1) as f64,
+            many: terms.forwarders.unwrap_or(1) > terms.slots.unwrap_or(u64::MAX),
             slots: terms.slots.unwrap_or(u64::MAX).min(1 << 20) as usize,
             room: terms.room.unwrap_or(u64::MAX).clamp(2, 1 << 30) as usize,
             dispatch_cap: terms.dispatch_cap.unwrap_or(u64::MAX).min(1 << 20) as u32,
@@ -180,8 +181,7 @@
     }
 
     /// The design's expiry, derived: a record that can no longer matter is as good as none. With one recovery
-    /// delay for all it is max(delay, window) + margin after the last write; a told wait may make the delay
-    /// longer.
+    /// delay it is max(delay, window) + margin after the last write; a told wait may make that longer.
     fn expire(&mut self, now: Duration, card: &RateCard) {
         let matters = self.restrained_until.unwrap_or_default().max(self.last_write + card.window);
         if self.trial.is_none() && now > matters + RECORD_MARGIN {
@@ -217,10 +217,10 @@
     fn push_room(&self, route: Route, target: &Target, now: Duration) -> Result<f64, Duration> {
         let Some(trouble) = target.trouble else { return Ok(f64::MAX) };
         let card = &self.card;
-        // The middle of the span that the budget is counted over. What has not answered since may still be
-        // down, and seen by so many forwarders that sooner calls of each would push it over.
+        // The middle of the span that the budget is counted over. What has not answered many forwarders may
+        // still be down, and sooner calls of each would push it over.
         let answered = self.circuits.get(&route).is_some_and(|c| c.last_answer >= trouble);
-        let down = if answered { Duration::ZERO } else { card.warm_within };
+        let down = if answered || !card.many { Duration::ZERO } else { card.warm_within };
         let warmed = now.saturating_sub(trouble + down + card.tip_after / 2).as_secs_f64();
         let share =
             card.cold_from + (1.0 - card.cold_from) * warmed / card.warm_within.as_secs_f64().max(0.001);
@@ -964,7 +964,7 @@
         let Some(crowd) = target.kind.and_then(|k| self.crowds.get_mut(k)) else { return };
         let failed = if outcome == Outcome::NoConnection { 1.0 } else { 0.0 };
         *crowd += CROWDED_STEP * (failed - *crowd);
-        if *crowd > CROWDED && target.calls_out == 0 && self.card.forwarders > self.card.slots as f64 {
+        if *crowd > CROWDED && target.calls_out == 0 && self.card.many {
             host.close_idle(id);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,6 +39,8 @@
     pub(crate) tenants: Vec<(String, f64)>,
     pub(crate) zone: String,
     pub(crate) forwarders: f64,
+    /// Forwarders outnumber the calls that one may have out: each sees little of most destinations.
+    pub(crate) many: bool,
     pub(crate) slots: usize,
     pub(crate) room: usize,
     pub(crate) dispatch_cap: u32,
