--- a/src/control.rs
+++ b/src/control.rs
@@ -328,7 +328,10 @@
         // A route takes at least half of what it is usually sent, in so many calls or in fewer, fuller ones.
         let usual = self.usual_rate(target, now) * of_route.len() as f64 / self.batch(target) as f64;
         let most = (self.card.forwarders / LEAST_CAPACITY).min(2.0 / usual.max(0.01));
-        let troubled = of_route.iter().any(|t| self.targets.get(t).is_some_and(|t| t.trouble.is_some()));
+        let members = || of_route.iter().filter_map(|t| self.targets.get(t));
+        let troubled = members().any(|t| t.trouble.is_some());
+        let pushes = members().flat_map(|t| &t.pushes);
+        let lately = pushes.filter(|p| now.saturating_sub(p.0) < self.card.tip_after).count();
         let card = &self.card;
         let circuit = self.circuits.entry(route).or_default();
         let Some(target) = self.targets.get_mut(&id) else { return };
@@ -369,7 +372,8 @@
                 }
                 // Calls out together that are refused together count once.
                 if wait.is_none() && sent >= circuit.spaced_at {
-                    let first = FIRST_GAP / usual.max(0.01);
+                    let recent = if lately > 1 { card.tip_after.as_secs_f64() / lately as f64 } else { 0.0 };
+                    let first = (SPACING_GROWTH * recent).max(FIRST_GAP / usual.max(0.01));
                     circuit.spacing = (circuit.spacing * SPACING_GROWTH).max(first).min(most);
                     circuit.spaced_at = now;
                 }
@@ -810,13 +814,7 @@
     /// least to hope for goes instead: beyond its share, then late, of the destination with most held.
     fn make_room(&mut self, now: Duration, host: &mut dyn Host) {
         while self.envelopes.len() >= self.card.room {
-            // In calls, as many envelopes that travel as one take no more of the slots than one.
-            let calls = |id: &&DestinationId| {
-                let d = &self.destinations[*id];
-                let batch = d.targets.iter().filter_map(|t| self.targets.get(t)).map(|t| self.batch(t)).max();
-                d.held.len().div_ceil(batch.unwrap_or(1))
-            };
-            let fullest = self.waiting.iter().max_by_key(calls);
+            let fullest = self.waiting.iter().max_by_key(|id| self.destinations[*id].held.len());
             let Some(id) = fullest else { return };
             let last = self.ranked(*id, now).pop().or_else(|| self.destinations[id].held.last().cloned());
             let Some(last) = last else { return };
