--- a/src/control.rs
+++ b/src/control.rs
@@ -431,10 +431,12 @@
         if usual * promised.as_secs_f64() >= 1.0 {
             return true;
         }
-        // Where they are few, it goes after a usual gap: sooner repeats of many forwarders that see little
-        // would push over a destination that was shut. And not while most slots are out: refused again, it
-        // would take the place of one that may be answered.
-        2 * self.calls.len() < self.card.slots && idle >= seconds(1.0 / usual)
+        // Where they are few, it goes after a usual gap, or once where waits are told, as there is room at
+        // their end: sooner repeats of many forwarders would push over a destination that was shut. And not
+        // while most slots are out: refused again, it would take the place of one that may be answered.
+        let told = self.circuits.get(&self.route_of(id, target)).is_some_and(|c| !c.told_wait.is_zero());
+        let waited = told && envelope.dispatches == 1 && now.saturating_sub(envelope.last_sent) >= promised;
+        2 * self.calls.len() < self.card.slots && (waited || idle >= seconds(1.0 / usual))
     }
 
     /// Two drawn at random, the one that the forwarder's own counts favour is taken.
