--- /dev/null
+++ b/crates/daemon/src/duties.rs
@@ -0,0 +1,57 @@
+//! What a forwarder is told at its start: the configuration file, and the folder that lasts.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use reeddock_forwarder::limits::Allowance;
+use reeddock_forwarder::Post;
+use reeddock_protocol::ListPart;
+use reeddock_terms::{terms, Reach};
+use serde_json::Value;
+
+/// A planned stop is followed by a kill 3.7 s later at the soonest, and new clients come for 0.4 s.
+const LEAVE_WITHIN: Duration = Duration::from_millis(3500);
+const CLIENTS_COME_FOR: Duration = Duration::from_millis(800);
+/// Where the settings tell nothing of connections.
+const CONNECT_WITHIN: Duration = Duration::from_secs(1);
+const CLOSED_AFTER: Duration = Duration::from_secs(5);
+
+pub fn read(file: &Path, state: Option<OsString>) -> Result<Post, String> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("cannot read {name}: {e}"))?;
+    let mut told: Value = serde_json::from_str(&text).map_err(|e| format!("{name} is not JSON: {e}"))?;
+    let known = told.get_mut("known").map(Value::take);
+    let known = match known.filter(|k| !k.is_null()) {
+        Some(list) => ListPart::decode_value(list).map_err(|e| format!("{name}: known: {e}"))?,
+        None => ListPart { generation: 0, whole: true, entries: Vec::new() },
+    };
+    let missing = |what: &str| format!("{name}: {what} is missing or malformed");
+    let address = |what: &str| -> Result<SocketAddr, String> {
+        told.get(what).and_then(Value::as_str).and_then(|a| a.parse().ok()).ok_or_else(|| missing(what))
+    };
+    let seed = told.get("seed").and_then(Value::as_str).and_then(|s| u64::from_str_radix(s, 16).ok());
+    let settings = told.get("settings").and_then(Value::as_object).ok_or_else(|| missing("settings"))?;
+    let limit = |what: &str| {
+        let limits = told.get("limits").and_then(|l| l.get(what)).and_then(Value::as_u64);
+        limits.ok_or_else(|| missing(&format!("limits.{what}")))
+    };
+    let reach = Reach::of(settings);
+    Ok(Post {
+        listen: address("listen")?,
+        discovery: address("discovery")?,
+        state: state.ok_or("EDGE_STATE names no folder that lasts")?.into(),
+        allowance: Allowance {
+            memory_bytes: limit("memory_mb")?.saturating_mul(1_000_000),
+            descriptors: limit("sockets")?.min(1 << 20) as usize,
+            disk_bytes: limit("disk_mb")?.saturating_mul(1_000_000),
+        },
+        known,
+        terms: terms(seed.ok_or_else(|| missing("seed"))?, settings),
+        connect_within: reach.connect_within.unwrap_or(CONNECT_WITHIN),
+        closed_after: reach.idle.unwrap_or(CLOSED_AFTER),
+        leave_within: LEAVE_WITHIN,
+        clients_come_for: CLIENTS_COME_FOR,
+    })
+}
--- /dev/null
+++ b/crates/forwarder/src/calls.rs
@@ -0,0 +1,135 @@
+//! Calls to targets: a service that carries one call and tells how each of its envelopes ended, and the task
+//! that stops waiting for it.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use reeddock::{DispatchNo, EnvelopeId};
+use reeddock_protocol::{self as protocol, Ending, Letter};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+use tower::{Service, ServiceExt};
+
+use crate::connections::{Connection, Connections};
+use crate::owner::Event;
+
+/// One call to one target.
+pub struct Call {
+    pub to: SocketAddr,
+    pub letters: Vec<Letter>,
+    /// How long its answer is waited for.
+    pub wait: Duration,
+}
+
+/// Carries calls. Dropping the future of one ends its connection, and so gives the call up.
+#[derive(Clone)]
+pub struct Courier {
+    pub connections: Connections,
+}
+
+/// The rest of an answer is read for so long, before the end is told and after; then its connection goes.
+const REST_SHORTLY: Duration = Duration::from_millis(20);
+const REST_AT_MOST: Duration = Duration::from_secs(2);
+
+impl Service<Call> for Courier {
+    /// How each envelope of the call ended, in their order.
+    type Response = Vec<Ending>;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Vec<Ending>, Infallible>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, call: Call) -> Self::Future {
+        let connections = self.connections.clone();
+        Box::pin(async move {
+            let count = call.letters.len();
+            Ok(carry(connections, call).await.unwrap_or_else(|ending| vec![ending; count]))
+        })
+    }
+}
+
+async fn carry(connections: Connections, call: Call) -> Result<Vec<Ending>, Ending> {
+    let request = match &call.letters[..] {
+        [letter] => protocol::one(call.to, letter, call.wait),
+        letters => protocol::bundle(call.to, letters, call.wait),
+    };
+    let request = request.map_err(|_| Ending::NotBegun)?;
+    let mut connection = connections.take(call.to).await?;
+    let (head, body) = connection.send(request).await?.into_parts();
+    if call.letters.len() > 1 {
+        // What is said of each stands in the body.
+        let whole = http_body_util::Limited::new(body, 4 * protocol::MOST_BODY).collect().await;
+        let whole = whole.map_err(|_| Ending::Broken)?.to_bytes();
+        let endings = protocol::endings_of_bundle(&head, &whole, &call.letters);
+        if connection.ready().await {
+            connections.put(call.to, connection);
+        }
+        return Ok(endings);
+    }
+    // The head says all. The next call to this target, which may follow at once, finds the connection free if
+    // the rest comes shortly.
+    let mut rest = Box::pin(finish(connections, call.to, connection, body));
+    if timeout(REST_SHORTLY, &mut rest).await.is_err() {
+        tokio::spawn(timeout(REST_AT_MOST, rest));
+    }
+    Ok(vec![protocol::ending_of(&head)])
+}
+
+async fn finish(connections: Connections, to: SocketAddr, mut connection: Connection, mut body: Incoming) {
+    while let Some(Ok(_)) = body.frame().await {}
+    if connection.ready().await {
+        connections.put(to, connection);
+    }
+}
+
+/// One envelope of a call that is out, and when to stop waiting for it.
+pub struct Dispatched {
+    pub envelope: EnvelopeId,
+    pub no: DispatchNo,
+    pub time_out: Duration,
+    pub called_off: oneshot::Receiver<()>,
+}
+
+/// Carries a call to its end and tells the owner how each envelope fared. Once none is waited for any more,
+/// the connection is closed.
+pub async fn see_through(
+    courier: Courier,
+    call: Call,
+    dispatched: Vec<Dispatched>,
+    owner: mpsc::Sender<Event>,
+) {
+    let mut waiting = Vec::new();
+    let mut patience = FuturesUnordered::new();
+    for (place, d) in dispatched.into_iter().enumerate() {
+        waiting.push(Some((d.envelope, d.no)));
+        let (time_out, called_off) = (d.time_out, d.called_off);
+        patience.push(async move {
+            tokio::select! {
+                _ = sleep(time_out) => (place, Ending::TimedOut),
+                Ok(()) = called_off => (place, Ending::CalledOff),
+            }
+        });
+    }
+    let mut carried = courier.oneshot(call);
+    while waiting.iter().any(Option::is_some) {
+        let ended = tokio::select! {
+            biased;
+            Ok(endings) = &mut carried => endings.into_iter().enumerate().collect(),
+            Some(ended) = patience.next() => vec![ended],
+        };
+        for (place, ending) in ended {
+            let Some((envelope, no)) = waiting.get_mut(place).and_then(Option::take) else { continue };
+            // The owner lives as long as the program.
+            let _ = owner.send(Event::Ended { envelope, no, ending }).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/connections.rs
@@ -0,0 +1,222 @@
+//! Connections to other machines: opened, kept while idle, and watched for how much of a request has left.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use reeddock_protocol::Ending;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::AbortHandle;
+use tokio::time::{timeout, Instant};
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// How much of a request has been handed to the system, read from the bytes themselves: what a library still
+/// holds back has not left, and a call that has not left whole cannot have run.
+#[derive(Default)]
+struct Departure {
+    /// Bytes of the blank line after the head seen so far.
+    blank: usize,
+    head_gone: bool,
+    body_left: usize,
+}
+
+impl Departure {
+    fn begin(&mut self, body: usize) {
+        *self = Departure { body_left: body, ..Departure::default() };
+    }
+
+    fn gone(&mut self, mut bytes: &[u8]) {
+        const BLANK: &[u8] = b"\r\n\r\n";
+        while let (false, Some((byte, rest))) = (self.head_gone, bytes.split_first()) {
+            self.blank =
+                if *byte == BLANK[self.blank] { self.blank + 1 } else { usize::from(*byte == b'\r') };
+            self.head_gone = self.blank == BLANK.len();
+            bytes = rest;
+        }
+        self.body_left = self.body_left.saturating_sub(bytes.len());
+    }
+
+    fn complete(&self) -> bool {
+        self.head_gone && self.body_left == 0
+    }
+}
+
+/// A stream that notes what has left on it.
+struct Noted {
+    stream: TokioIo<TcpStream>,
+    departure: Arc<Mutex<Departure>>,
+}
+
+impl Read for Noted {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_read(cx, buf)
+    }
+}
+
+impl Write for Noted {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(cx, bytes);
+        if let Poll::Ready(Ok(n)) = written {
+            locked(&this.departure).gone(&bytes[..n]);
+        }
+        written
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
+
+/// The task that drives a connection; the connection is closed with it.
+struct Driver(AbortHandle);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// One open connection. Dropping it closes it, whatever is under way on it.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    departure: Arc<Mutex<Departure>>,
+    _driver: Driver,
+}
+
+impl Connection {
+    pub async fn open(
+        to: SocketAddr,
+        within: Duration,
+        seat: Option<OwnedSemaphorePermit>,
+    ) -> Result<Self, Ending> {
+        let stream = match timeout(within, TcpStream::connect(to)).await {
+            Err(_) => return Err(Ending::NeverUp),
+            Ok(Err(e)) if e.raw_os_error().is_some() && out_of_descriptors(&e) => {
+                return Err(Ending::NotBegun)
+            }
+            Ok(Err(_)) => return Err(Ending::Refused),
+            Ok(Ok(stream)) => stream,
+        };
+        // A small request must not wait for the answer to the one before.
+        let _ = stream.set_nodelay(true);
+        let departure = Arc::<Mutex<Departure>>::default();
+        let noted = Noted { stream: TokioIo::new(stream), departure: departure.clone() };
+        let (sender, connection) = http1::handshake(noted).await.map_err(|_| Ending::CutShort)?;
+        let driver = tokio::spawn(async move {
+            // How it ended reaches whoever has a request on it.
+            let _ = connection.await;
+            drop(seat);
+        });
+        Ok(Connection { sender, departure, _driver: Driver(driver.abort_handle()) })
+    }
+
+    /// Sends one request, once. What goes wrong is told by whether its last byte had left.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Ending> {
+        let length = request.body().size_hint().exact().unwrap_or(u64::MAX);
+        locked(&self.departure).begin(usize::try_from(length).unwrap_or(usize::MAX));
+        self.sender.send_request(request).await.map_err(|_| match locked(&self.departure).complete() {
+            true => Ending::Broken,
+            false => Ending::CutShort,
+        })
+    }
+
+    /// Whether another request may follow; waits until the last answer has been read.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+}
+
+/// Whether the machine, and not the other side, has no room for one more.
+pub fn out_of_descriptors(error: &io::Error) -> bool {
+    // EMFILE, ENFILE, ENOBUFS and ENOMEM have no kinds of their own.
+    matches!(error.raw_os_error(), Some(24 | 23 | 105 | 12))
+}
+
+struct Idle {
+    connection: Connection,
+    since: Instant,
+}
+
+/// Connections to targets. Idle ones are kept for the next call, for less time than the target keeps them.
+#[derive(Clone)]
+pub struct Connections {
+    idle: Arc<Mutex<BTreeMap<SocketAddr, VecDeque<Idle>>>>,
+    seats: Arc<Semaphore>,
+    connect_within: Duration,
+    idle_for: Duration,
+}
+
+impl Connections {
+    pub fn new(most: usize, connect_within: Duration, closed_after: Duration) -> Connections {
+        Connections {
+            idle: Arc::default(),
+            seats: Arc::new(Semaphore::new(most)),
+            connect_within,
+            // A request must arrive before the target closes, which counts from when it wrote its answer.
+            idle_for: closed_after - closed_after / 8,
+        }
+    }
+
+    /// A connection to this address: the idle one that was used last, else a new one.
+    pub async fn take(&self, to: SocketAddr) -> Result<Connection, Ending> {
+        while let Some(idle) = locked(&self.idle).get_mut(&to).and_then(VecDeque::pop_back) {
+            if idle.since.elapsed() < self.idle_for && idle.connection.sender.is_ready() {
+                return Ok(idle.connection);
+            }
+        }
+        let mut seat = self.seats.clone().try_acquire_owned();
+        if seat.is_err() && self.close_oldest() {
+            // Its seat is free once its task has seen that it is aborted.
+            tokio::task::yield_now().await;
+            seat = self.seats.clone().try_acquire_owned();
+        }
+        let seat = seat.map_err(|_| Ending::NotBegun)?;
+        Connection::open(to, self.connect_within, Some(seat)).await
+    }
+
+    /// Takes back a connection whose answer has been read.
+    pub fn put(&self, to: SocketAddr, connection: Connection) {
+        if connection.sender.is_ready() {
+            let idle = Idle { connection, since: Instant::now() };
+            locked(&self.idle).entry(to).or_default().push_back(idle);
+        }
+    }
+
+    pub fn close_idle(&self, to: SocketAddr) {
+        locked(&self.idle).remove(&to);
+    }
+
+    /// Closes what has stood idle for too long, or has been closed by the other side.
+    pub fn sweep(&self) {
+        locked(&self.idle).retain(|_, line| {
+            line.retain(|idle| idle.since.elapsed() < self.idle_for && !idle.connection.sender.is_closed());
+            !line.is_empty()
+        });
+    }
+
+    fn close_oldest(&self) -> bool {
+        let mut idle = locked(&self.idle);
+        let oldest = idle.values_mut().filter(|line| !line.is_empty()).min_by_key(|line| line[0].since);
+        oldest.and_then(VecDeque::pop_front).is_some()
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/discovery.rs
@@ -0,0 +1,97 @@
+//! The watch on the list of targets, opened again whenever it breaks or falls silent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use reeddock_protocol::{watch, ListPart};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use crate::connections::Connection;
+use crate::owner::Event;
+
+/// An empty line comes every two seconds; two that stay away are a silence.
+const SILENT_AFTER: Duration = Duration::from_millis(4500);
+const OPEN_WITHIN: Duration = Duration::from_secs(1);
+/// Before the watch is opened again: doubled each time, until a line comes.
+const AGAIN_FIRST: Duration = Duration::from_millis(100);
+const AGAIN_MOST: Duration = Duration::from_secs(2);
+/// The whole list of a large fleet fits well inside this.
+const LONGEST_LINE: usize = 16 * 1024 * 1024;
+
+/// Watches for ever. `known` is the generation of the list that the owner has.
+pub async fn follow(discovery: SocketAddr, mut known: u64, owner: mpsc::Sender<Event>) {
+    let mut again = AGAIN_FIRST;
+    loop {
+        let before = known;
+        let mut heard = false;
+        let fault = listen(discovery, &mut known, &mut heard, &owner).await;
+        if heard || known != before {
+            again = AGAIN_FIRST;
+        }
+        tracing::warn!(%fault, "the watch on the list of targets ended");
+        if owner.send(Event::ListFailed).await.is_err() {
+            return;
+        }
+        // Forwarders that lost it together do not all come back together.
+        sleep(again.mul_f64(0.5 + f64::from(std::process::id() % 64) / 64.0)).await;
+        again = (again * 2).min(AGAIN_MOST);
+    }
+}
+
+/// One watch, until it ends; says why it did.
+async fn listen(
+    discovery: SocketAddr,
+    known: &mut u64,
+    heard: &mut bool,
+    owner: &mpsc::Sender<Event>,
+) -> String {
+    let request = match watch(discovery, *known) {
+        Ok(request) => request,
+        Err(fault) => return fault,
+    };
+    let mut connection = match Connection::open(discovery, OPEN_WITHIN, None).await {
+        Ok(connection) => connection,
+        Err(ending) => return format!("discovery: {ending:?}"),
+    };
+    let response = match timeout(SILENT_AFTER, connection.send(request)).await {
+        Err(_) => return "no answer".into(),
+        Ok(Err(ending)) => return format!("discovery: {ending:?}"),
+        Ok(Ok(response)) => response,
+    };
+    if response.status() != http::StatusCode::OK {
+        return format!("answered {}", response.status());
+    }
+    let mut body = response.into_body();
+    let mut line: Vec<u8> = Vec::new();
+    loop {
+        let frame = match timeout(SILENT_AFTER, body.frame()).await {
+            Err(_) => return "silent".into(),
+            Ok(None) => return "closed".into(),
+            Ok(Some(Err(e))) => return e.to_string(),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        for byte in frame.into_data().unwrap_or_default() {
+            if byte != b'\n' {
+                line.push(byte);
+                if line.len() > LONGEST_LINE {
+                    return "a line has no end".into();
+                }
+                continue;
+            }
+            *heard = true;
+            if !line.trim_ascii().is_empty() {
+                let part = match ListPart::decode(&line) {
+                    Ok(part) => part,
+                    Err(fault) => return format!("a line that can't be read: {fault}"),
+                };
+                *known = part.generation;
+                if owner.send(Event::List(part)).await.is_err() {
+                    return "the forwarder stops".into();
+                }
+            }
+            line.clear();
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/lib.rs
@@ -0,0 +1,120 @@
+//! One forwarder on sockets, around reeddock's decision module. Every decision is the module's; here it is
+//! carried out, and what happens is told to it.
+//!
+//! | part | its job |
+//! | --- | --- |
+//! | [`intake`] | clients hand envelopes in |
+//! | [`owner`] | owns the module and the ledger; one queue leads to it |
+//! | [`calls`] | one call to a target, to its end |
+//! | [`connections`] | connections, kept and counted |
+//! | [`discovery`] | the watch on the list of targets |
+//! | [`notices`] | tells the platform of what was not delivered |
+//! | [`limits`] | what the machine has room for |
+//! | [`clock`] | spans for the module, wall-clock time for what is stored |
+
+pub mod calls;
+pub mod clock;
+pub mod connections;
+pub mod discovery;
+pub mod intake;
+pub mod limits;
+pub mod notices;
+pub mod owner;
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use reeddock::{Forwarder, Terms};
+use reeddock_ledger::Ledger;
+use reeddock_protocol::ListPart;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::{interval, sleep, Instant};
+
+use calls::Courier;
+use clock::Clock;
+use connections::Connections;
+use intake::Door;
+use limits::{Allowance, Limits};
+use owner::{Event, Owner, State};
+
+/// What one forwarder is told at its start.
+pub struct Post {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    /// The folder that outlasts the process.
+    pub state: PathBuf,
+    pub allowance: Allowance,
+    /// The list of targets as it was last known.
+    pub known: ListPart,
+    pub terms: Terms,
+    /// A connection that is not up by then is none, and one that stands idle for so long is closed.
+    pub connect_within: Duration,
+    pub closed_after: Duration,
+    /// How long it may go on once it is asked to stop, and how long new clients still come then.
+    pub leave_within: Duration,
+    pub clients_come_for: Duration,
+}
+
+/// Serves until `stop` and whatever can still be ended after it.
+pub async fn serve(post: Post, stop: impl Future<Output = ()>) -> io::Result<()> {
+    let limits = Limits::derive(post.allowance);
+    let clock = Clock::start();
+    let ledger = Ledger::open(&post.state, post.allowance.disk_bytes)
+        .map_err(|e| io::Error::new(e.kind(), format!("ledger in {}: {e}", post.state.display())))?;
+    let listener = TcpListener::bind(post.listen)
+        .await
+        .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", post.listen)))?;
+    let (events, queue) = mpsc::channel(limits.queue);
+    let (notices, untold) = mpsc::unbounded_channel();
+    let connections = Connections::new(limits.calls, post.connect_within, post.closed_after);
+    let mut state = State::default();
+    let batches: BTreeMap<String, usize> =
+        post.terms.kinds.iter().map(|k| (k.0.clone(), k.2.unwrap_or(1).max(1) as usize)).collect();
+    let forwarder = Forwarder::open(clock.now(), post.terms, state.desk());
+    let generation = post.known.generation;
+    let mut owner = Owner {
+        forwarder,
+        ledger,
+        clock,
+        courier: Courier { connections: connections.clone() },
+        batches,
+        most_bodies: limits.bodies,
+        notices,
+        events: events.clone(),
+        state,
+    };
+    owner.list(post.known);
+    owner.take_up();
+    tokio::spawn(notices::tell(post.discovery, untold, events.clone()));
+    tokio::spawn(discovery::follow(post.discovery, generation, events.clone()));
+    tokio::spawn(async move {
+        let mut tick = interval(Duration::from_millis(500));
+        loop {
+            tick.tick().await;
+            connections.sweep();
+        }
+    });
+    let door = Arc::new(Door::default());
+    let accepting = tokio::spawn(intake::accept(listener, limits, door.clone(), events.clone()));
+    tracing::info!(listen = %post.listen, "serving");
+    let leave = async {
+        stop.await;
+        tracing::info!("asked to stop");
+        door.leave();
+        let by = Instant::now() + post.leave_within;
+        let _ = events.send(Event::Leaving(by)).await;
+        sleep(post.clients_come_for).await;
+        accepting.abort();
+        std::future::pending::<()>().await
+    };
+    tokio::select! {
+        () = owner.run(queue) => Ok(()),
+        () = leave => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/limits.rs
@@ -0,0 +1,40 @@
+//! What this machine has room for, derived from the limits that a forwarder is told. These are the network's
+//! own: they say what it can carry, never what should go.
+
+/// What a forwarder is told of its machine.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    pub memory_bytes: u64,
+    pub descriptors: usize,
+    pub disk_bytes: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections of clients that are served; those beyond are told that there is no room.
+    pub clients: usize,
+    /// Connections of clients that are accepted at all.
+    pub accepted: usize,
+    /// Connections to targets, idle ones counted.
+    pub calls: usize,
+    /// Hand-ins that wait for the owner of the module.
+    pub queue: usize,
+    /// Bytes of envelopes that are kept in memory.
+    pub bodies: u64,
+}
+
+impl Limits {
+    pub fn derive(allowance: Allowance) -> Limits {
+        // Files, the listener, the runtime, discovery and notices.
+        let free = allowance.descriptors.saturating_sub(32).max(8);
+        let accepted = free / 2;
+        Limits {
+            clients: accepted - accepted / 8,
+            accepted,
+            calls: free - accepted,
+            queue: 1024,
+            // The rest is for connections, each with the body that it is reading, and for the program.
+            bodies: allowance.memory_bytes / 4,
+        }
+    }
+}
--- /dev/null
+++ b/crates/forwarder/src/notices.rs
@@ -0,0 +1,74 @@
+//! Notices to the platform, sent again until it has them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::StatusCode;
+use http_body_util::BodyExt;
+use reeddock_protocol::{notices, Notice};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use crate::connections::Connection;
+use crate::owner::Event;
+
+/// Notices in one message at most, well inside what a body may hold.
+const TOGETHER: usize = 128;
+/// The platform answers at once.
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+const AGAIN_FIRST: Duration = Duration::from_millis(20);
+const AGAIN_MOST: Duration = Duration::from_secs(1);
+
+/// Sends what comes in, in its order.
+pub async fn tell(
+    discovery: SocketAddr,
+    mut ended: mpsc::UnboundedReceiver<Notice>,
+    owner: mpsc::Sender<Event>,
+) {
+    let mut connection: Option<Connection> = None;
+    let mut batch = Vec::new();
+    while ended.recv_many(&mut batch, TOGETHER).await > 0 {
+        let mut again = AGAIN_FIRST;
+        loop {
+            let sent = timeout(ANSWER_WITHIN, send(discovery, &mut connection, &batch)).await;
+            let fault = match sent {
+                Ok(Ok(StatusCode::BAD_REQUEST)) => {
+                    // It would never be read, and those behind it must not wait.
+                    tracing::error!(count = batch.len(), "the platform can't read these notices");
+                    break;
+                }
+                Ok(Ok(status)) if status.is_success() => break,
+                Ok(Ok(status)) => format!("answered {status}"),
+                Ok(Err(fault)) => fault,
+                Err(_) => "no answer".into(),
+            };
+            tracing::warn!(%fault, count = batch.len(), "notices are sent again");
+            connection = None;
+            sleep(again).await;
+            again = (again * 2).min(AGAIN_MOST);
+        }
+        let told = batch.drain(..).map(|n| n.id).collect();
+        if owner.send(Event::Told(told)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn send(
+    discovery: SocketAddr,
+    kept: &mut Option<Connection>,
+    batch: &[Notice],
+) -> Result<StatusCode, String> {
+    let mut connection = match kept.take() {
+        Some(connection) => connection,
+        None => Connection::open(discovery, ANSWER_WITHIN, None).await.map_err(|e| format!("{e:?}"))?,
+    };
+    let response = connection.send(notices(discovery, batch)?).await.map_err(|e| format!("{e:?}"))?;
+    let status = response.status();
+    let mut body = response.into_body();
+    while let Some(Ok(_)) = body.frame().await {}
+    if connection.ready().await {
+        *kept = Some(connection);
+    }
+    Ok(status)
+}
--- /dev/null
+++ b/crates/forwarder/src/owner.rs
@@ -0,0 +1,445 @@
+//! The one task that owns the decision module and the ledger. Sockets reach it through a bounded queue only;
+//! what the module asks for goes out from here, and only after the ledger has it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use reeddock::{DispatchNo, EnvelopeId, Forwarder, Host, Listing, Outcome, PeerId, TargetId};
+use reeddock_ledger::{Ledger, Record, Taken};
+use reeddock_protocol::{Answer, Ending, GivenUp, HandIn, Letter, ListPart, Notice};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, Instant};
+
+use crate::calls::{see_through, Call, Courier, Dispatched};
+use crate::clock::Clock;
+
+/// Events that are taken before the module has its turn, so that a flood cannot keep it from deciding.
+const EVENTS_A_TURN: usize = 256;
+/// What could not be begun is asked for again no sooner, so that a full disk does not make a busy loop.
+const AFTER_A_FAULT: Duration = Duration::from_millis(20);
+
+/// What the sockets tell the owner.
+pub enum Event {
+    HandIn {
+        hand_in: HandIn,
+        at: Instant,
+        reply: oneshot::Sender<Answer>,
+    },
+    Ended {
+        envelope: EnvelopeId,
+        no: DispatchNo,
+        ending: Ending,
+    },
+    List(ListPart),
+    ListFailed,
+    /// The platform has these notices.
+    Told(Vec<EnvelopeId>),
+    /// The program is to stop by then.
+    Leaving(Instant),
+}
+
+/// What the module asked for, in its order.
+enum Asked {
+    Dispatch(EnvelopeId, TargetId, Duration),
+    CallOff(EnvelopeId, DispatchNo),
+    End(EnvelopeId, GivenUp),
+    CloseIdle(TargetId),
+}
+
+#[derive(Default)]
+struct Desk {
+    asked: Vec<Asked>,
+    wakes: Vec<Duration>,
+}
+
+impl Host for Desk {
+    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, time_out: Duration) {
+        self.asked.push(Asked::Dispatch(envelope.clone(), target, time_out));
+    }
+
+    fn call_off(&mut self, envelope: &EnvelopeId, dispatch: DispatchNo) {
+        self.asked.push(Asked::CallOff(envelope.clone(), dispatch));
+    }
+
+    fn shed(&mut self, envelope: &EnvelopeId, come_back: Option<Duration>) {
+        self.asked.push(Asked::End(envelope.clone(), GivenUp::Shed(come_back)));
+    }
+
+    fn break_off(&mut self, envelope: &EnvelopeId) {
+        self.asked.push(Asked::End(envelope.clone(), GivenUp::BrokenOff));
+    }
+
+    fn wake(&mut self, after: Duration) {
+        self.wakes.push(after);
+    }
+
+    // Nothing on sockets stands behind these: targets may not be probed, forwarders share nothing, and the
+    // watch on the list is always open.
+    fn probe(&mut self, _: TargetId) {}
+    fn tell(&mut self, _: Option<PeerId>, _: &[u8]) {}
+    fn subscribe(&mut self, _: bool) {}
+    fn fetch_list(&mut self) {}
+
+    fn close_idle(&mut self, target: TargetId) {
+        self.asked.push(Asked::CloseIdle(target));
+    }
+
+    fn log(&mut self, line: &str) {
+        tracing::info!("{line}");
+    }
+}
+
+/// A target as the network knows it.
+struct Place {
+    name: Arc<str>,
+    address: SocketAddr,
+    /// Envelopes in one call at most.
+    batch: usize,
+}
+
+/// An envelope that is owed its end.
+struct Owed {
+    body: Bytes,
+    dispatches: u32,
+}
+
+pub struct Owner {
+    pub forwarder: Forwarder,
+    pub ledger: Ledger,
+    pub clock: Clock,
+    pub courier: Courier,
+    /// Envelopes in one call at most, by kind of destination.
+    pub batches: BTreeMap<String, usize>,
+    /// Bytes of envelopes that may be kept in memory.
+    pub most_bodies: u64,
+    pub notices: mpsc::UnboundedSender<Notice>,
+    /// The queue's other end, for calls.
+    pub events: mpsc::Sender<Event>,
+    pub state: State,
+}
+
+/// What the owner keeps between turns.
+#[derive(Default)]
+pub struct State {
+    desk: Desk,
+    names: BTreeMap<Arc<str>, TargetId>,
+    places: BTreeMap<TargetId, Place>,
+    owed: BTreeMap<EnvelopeId, Owed>,
+    bodies: u64,
+    /// Handed in since the last turn, and not yet answered.
+    fresh: BTreeMap<EnvelopeId, (Taken, oneshot::Sender<Answer>)>,
+    out: BTreeMap<(EnvelopeId, DispatchNo), oneshot::Sender<()>>,
+    wakes: BTreeSet<Duration>,
+    /// For the ledger, with the next turn.
+    records: Vec<Record>,
+    untold: usize,
+}
+
+impl Owner {
+    /// Decides and carries out until the program is to stop.
+    pub async fn run(mut self, mut queue: mpsc::Receiver<Event>) {
+        let mut stop: Option<Instant> = None;
+        self.turn(self.clock.now());
+        loop {
+            let wake = self.state.wakes.first().map(|at| self.clock.instant(*at));
+            let next = [wake, stop].into_iter().flatten().min();
+            let first = tokio::select! {
+                event = queue.recv() => event,
+                _ = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => None,
+            };
+            let now = self.clock.now();
+            let mut more = first;
+            for _ in 0..EVENTS_A_TURN {
+                match more.take() {
+                    Some(Event::Leaving(by)) => stop = Some(by),
+                    Some(event) => self.hear(event, now),
+                    None => break,
+                }
+                more = queue.try_recv().ok();
+            }
+            if let Some(Event::Leaving(by)) = more {
+                stop = Some(by);
+            } else if let Some(event) = more {
+                self.hear(event, now);
+            }
+            while self.state.wakes.first().is_some_and(|at| *at <= now) {
+                self.state.wakes.pop_first();
+                self.forwarder.alarm(now);
+            }
+            self.turn(now);
+            if let Some(by) = stop {
+                let done = self.state.owed.is_empty() && self.state.untold == 0;
+                if done || Instant::now() >= by {
+                    tracing::info!(
+                        kept = self.state.owed.len(),
+                        "stopped; what is kept stands in the ledger"
+                    );
+                    return;
+                }
+            }
+        }
+    }
+
+    fn hear(&mut self, event: Event, now: Duration) {
+        match event {
+            Event::HandIn { hand_in, at, reply } => self.hand_in(hand_in, at, reply, now),
+            Event::Ended { envelope, no, ending } => self.ended(envelope, no, ending, now),
+            Event::List(part) => self.list(part),
+            Event::ListFailed => self.forwarder.list_failed(&mut self.state.desk),
+            Event::Told(ids) => {
+                self.state.untold = self.state.untold.saturating_sub(ids.len());
+                self.state.records.extend(ids.iter().map(|id| Record::Told { id: id.0.to_string() }));
+            }
+            Event::Leaving(_) => {}
+        }
+    }
+
+    fn hand_in(&mut self, hand_in: HandIn, at: Instant, reply: oneshot::Sender<Answer>, now: Duration) {
+        // A client that has closed its connection hands the envelope in anew.
+        if reply.is_closed() {
+            return;
+        }
+        let HandIn { id, category, tenant, key, destination, time_left, body } = hand_in;
+        let state = &mut self.state;
+        if state.owed.contains_key(&id) || state.fresh.contains_key(&id) {
+            let _ = reply.send(Answer::TakenOn);
+            return;
+        }
+        let outer_limit = self.clock.at(at) + time_left;
+        let taken = Taken {
+            id: id.0.to_string(),
+            category,
+            tenant,
+            key: key.map(|k| k.0),
+            destination: destination.0,
+            outer_limit: self.clock.stored(outer_limit),
+            body,
+        };
+        let pending: u64 = state.fresh.values().map(|(t, _)| Ledger::size_of(t)).sum();
+        let bodies = state.bodies + pending + taken.body.len() as u64;
+        if pending + Ledger::size_of(&taken) > self.ledger.room() || bodies > self.most_bodies {
+            let _ = reply.send(Answer::NoRoom);
+            return;
+        }
+        let (category, tenant) = (taken.category.as_str(), taken.tenant.as_deref());
+        let desk = &mut state.desk;
+        self.forwarder.hand_in(now, id.clone(), category, tenant, key, outer_limit, destination, desk);
+        state.fresh.insert(id, (taken, reply));
+    }
+
+    fn ended(&mut self, id: EnvelopeId, no: DispatchNo, ending: Ending, now: Duration) {
+        let state = &mut self.state;
+        state.out.remove(&(id.clone(), no));
+        let outcome = ending.outcome();
+        let held = state.owed.contains_key(&id);
+        if held && ending.ends_envelope() {
+            state.forget(&id);
+            state.records.push(Record::Ended { id: id.0.to_string(), notice: None });
+        } else if held {
+            let (id, never_ran) = (id.0.to_string(), outcome.never_ran());
+            state.records.push(Record::Returned { id, no: no.0, never_ran });
+        }
+        if outcome != Outcome::Completed {
+            tracing::debug!(id = &*id.0, no = no.0, ?ending, "a dispatch ended");
+        }
+        let over = !held || ending.ends_envelope();
+        self.forwarder.settled(now, &id, no, outcome, over, &mut state.desk);
+    }
+
+    /// The number of a target, which holds as long as this process.
+    fn number(&mut self, name: &str) -> TargetId {
+        let next = TargetId(self.state.names.len() as u32);
+        *self.state.names.entry(Arc::from(name)).or_insert(next)
+    }
+
+    pub fn list(&mut self, part: ListPart) {
+        self.forwarder.list_begins(part.whole);
+        for entry in part.entries {
+            let target = self.number(&entry.name);
+            self.forwarder.listed(Listing {
+                target,
+                destination: entry.destination,
+                standing: entry.standing,
+                weight: entry.weight,
+                zone: &entry.zone,
+                kind: &entry.kind,
+            });
+            let batch = self.batches.get(&entry.kind).copied().unwrap_or(1);
+            let place = Place { name: Arc::from(entry.name), address: entry.address, batch };
+            self.state.places.insert(target, place);
+        }
+        self.forwarder.list_ends();
+    }
+
+    /// Takes up what the ledger holds from before this start.
+    pub fn take_up(&mut self) {
+        for notice in self.ledger.untold() {
+            self.state.untold += 1;
+            let _ = self.notices.send(notice);
+        }
+    }
+
+    /// The module's turn, and all that it asks for.
+    fn turn(&mut self, now: Duration) {
+        self.forwarder.turn(now, &mut self.state.desk);
+        let state = &mut self.state;
+        state.wakes.extend(state.desk.wakes.drain(..).map(|after| now + after));
+        let mut going: Vec<(EnvelopeId, TargetId, Duration)> = Vec::new();
+        let mut called_off = Vec::new();
+        let mut notices = Vec::new();
+        for asked in std::mem::take(&mut state.desk.asked) {
+            match asked {
+                Asked::Dispatch(id, target, time_out) => going.push((id, target, time_out)),
+                Asked::CallOff(id, no) => called_off.push((id, no)),
+                Asked::CloseIdle(target) => {
+                    if let Some(place) = state.places.get(&target) {
+                        self.courier.connections.close_idle(place.address);
+                    }
+                }
+                Asked::End(id, end) => {
+                    if let Some((_, reply)) = state.fresh.remove(&id) {
+                        let _ = reply.send(match end {
+                            GivenUp::Shed(come_back) => Answer::Shed(come_back),
+                            GivenUp::BrokenOff => Answer::BrokenOff,
+                        });
+                    } else if state.forget(&id) {
+                        state.records.push(Record::Ended { id: id.0.to_string(), notice: Some(end) });
+                        notices.push(Notice { id, end });
+                    }
+                }
+            }
+        }
+        let fresh = std::mem::take(&mut state.fresh);
+        for (id, (taken, _)) in &fresh {
+            state.bodies += taken.body.len() as u64;
+            state.owed.insert(id.clone(), Owed { body: taken.body.clone(), dispatches: 0 });
+        }
+        let begun = state.number(going);
+        let written = self.write(&fresh, &begun, now);
+        for notice in notices {
+            self.state.untold += 1;
+            let _ = self.notices.send(notice);
+        }
+        let mut gone = BTreeSet::new();
+        for (id, (_, reply)) in fresh {
+            let answer = if written { Answer::TakenOn } else { Answer::NoRoom };
+            // A client that is no longer there has handed the envelope in anew.
+            if reply.send(answer).is_err() || !written {
+                gone.insert(id);
+            }
+        }
+        let (begun, kept): (Vec<_>, Vec<_>) =
+            begun.into_iter().partition(|b| written && !gone.contains(&b.id));
+        self.start(begun);
+        for dispatch in called_off {
+            if let Some(stop) = self.state.out.remove(&dispatch) {
+                let _ = stop.send(());
+            }
+        }
+        // What these leave to do comes with the next turn.
+        if !kept.is_empty() || !gone.is_empty() {
+            self.state.wakes.insert(now + AFTER_A_FAULT);
+        }
+        for dispatch in kept {
+            self.ended(dispatch.id, dispatch.no, Ending::NotBegun, now);
+        }
+        for id in gone {
+            self.forwarder.withdrawn(&id, &mut self.state.desk);
+            self.state.forget(&id);
+            self.state.records.push(Record::Ended { id: id.0.to_string(), notice: None });
+        }
+    }
+
+    /// Puts all that this turn brought into the ledger. What cannot be written is not begun and not taken on;
+    /// what has ended is written with the next turn.
+    fn write(
+        &mut self,
+        fresh: &BTreeMap<EnvelopeId, (Taken, oneshot::Sender<Answer>)>,
+        begun: &[Departing],
+        now: Duration,
+    ) -> bool {
+        let at = self.clock.stored(now);
+        let state = &mut self.state;
+        let mut records: Vec<Record> = fresh.values().map(|(t, _)| Record::Taken(t.clone())).collect();
+        records.extend(state.records.iter().cloned());
+        records.extend(begun.iter().map(|b| {
+            let target = state.places.get(&b.target).map_or(String::new(), |p| p.name.to_string());
+            Record::Begun { id: b.id.0.to_string(), no: b.no.0, target, at }
+        }));
+        match self.ledger.append(records) {
+            Ok(()) => {
+                state.records.clear();
+                true
+            }
+            Err(fault) => {
+                tracing::error!(%fault, "the ledger cannot be written");
+                false
+            }
+        }
+    }
+
+    /// Sends calls out. What goes to one target in one turn travels together, as far as its kind allows.
+    fn start(&mut self, begun: Vec<Departing>) {
+        let mut by_target: Vec<(TargetId, Vec<Departing>)> = Vec::new();
+        for departing in begun {
+            match by_target.iter_mut().find(|(target, _)| *target == departing.target) {
+                Some((_, line)) => line.push(departing),
+                None => by_target.push((departing.target, vec![departing])),
+            }
+        }
+        for (target, mut line) in by_target {
+            let Some(place) = self.state.places.get(&target) else { continue };
+            let (to, batch) = (place.address, place.batch);
+            while !line.is_empty() {
+                let together: Vec<_> = line.drain(..batch.min(line.len())).collect();
+                let wait = together.iter().map(|d| d.time_out).max().unwrap_or_default();
+                let (mut letters, mut dispatched) = (Vec::new(), Vec::new());
+                for Departing { id, no, time_out, body, .. } in together {
+                    let (stop, called_off) = oneshot::channel();
+                    self.state.out.insert((id.clone(), no), stop);
+                    letters.push(Letter { id: id.clone(), body });
+                    dispatched.push(Dispatched { envelope: id, no, time_out, called_off });
+                }
+                let call = Call { to, letters, wait };
+                tokio::spawn(see_through(self.courier.clone(), call, dispatched, self.events.clone()));
+            }
+        }
+    }
+}
+
+/// A dispatch that has its number and is about to go.
+struct Departing {
+    id: EnvelopeId,
+    no: DispatchNo,
+    target: TargetId,
+    time_out: Duration,
+    body: Bytes,
+}
+
+impl State {
+    pub fn desk(&mut self) -> &mut impl Host {
+        &mut self.desk
+    }
+
+    /// Dispatches of an envelope are numbered in the order in which the module asked for them.
+    fn number(&mut self, going: Vec<(EnvelopeId, TargetId, Duration)>) -> Vec<Departing> {
+        let mut departing = Vec::new();
+        for (id, target, time_out) in going {
+            let Some(owed) = self.owed.get_mut(&id) else { continue };
+            let (no, body) = (DispatchNo(owed.dispatches), owed.body.clone());
+            owed.dispatches += 1;
+            departing.push(Departing { id, no, target, time_out, body });
+        }
+        departing
+    }
+
+    /// The envelope is over; says whether it was still owed its end.
+    fn forget(&mut self, id: &EnvelopeId) -> bool {
+        let owed = self.owed.remove(id);
+        self.bodies -= owed.as_ref().map_or(0, |o| o.body.len() as u64);
+        owed.is_some()
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/call.rs
@@ -0,0 +1,80 @@
+//! One call to a target: what is sent, and what its answer says of each envelope.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http::header::{HOST, RETRY_AFTER};
+use http::{response, Request, StatusCode};
+use http_body_util::Full;
+use reeddock::EnvelopeId;
+
+use crate::{header, span_in, Ending, Fault};
+
+/// One envelope within a call.
+#[derive(Clone, Debug)]
+pub struct Letter {
+    pub id: EnvelopeId,
+    pub body: Bytes,
+}
+
+fn post(to: SocketAddr, path: &str, wait: Duration) -> http::request::Builder {
+    Request::post(path).header(HOST, to.to_string()).header("x-budget", format!("{:.3}", wait.as_secs_f64()))
+}
+
+/// A call with a single envelope; `wait` is how long the answer is waited for.
+pub fn one(to: SocketAddr, letter: &Letter, wait: Duration) -> Result<Request<Full<Bytes>>, Fault> {
+    let call = post(to, "/events", wait).header("x-call-id", &*letter.id.0);
+    call.body(Full::new(letter.body.clone())).map_err(|e| e.to_string())
+}
+
+/// A call with several.
+pub fn bundle(to: SocketAddr, letters: &[Letter], wait: Duration) -> Result<Request<Full<Bytes>>, Fault> {
+    let mut body = BytesMut::new();
+    for letter in letters {
+        body.put_slice(format!("{} - {}\r\n", letter.id.0, letter.body.len()).as_bytes());
+        body.put_slice(&letter.body);
+        body.put_slice(b"\r\n");
+    }
+    post(to, "/events/bundle", wait).body(Full::new(body.freeze())).map_err(|e| e.to_string())
+}
+
+/// What the head of an answer says of all envelopes of its call.
+pub fn ending_of(answer: &response::Parts) -> Ending {
+    let wait = || header(&answer.headers, RETRY_AFTER.as_str()).and_then(span_in).filter(|w| !w.is_zero());
+    match answer.status {
+        StatusCode::OK => Ending::Completed,
+        StatusCode::INTERNAL_SERVER_ERROR => Ending::Failed,
+        StatusCode::TOO_MANY_REQUESTS => Ending::TurnedAway(wait()),
+        StatusCode::SERVICE_UNAVAILABLE if answer.headers.contains_key("x-egress-full") => Ending::NoSlot,
+        StatusCode::SERVICE_UNAVAILABLE => Ending::TurnedAway(wait()),
+        StatusCode::GATEWAY_TIMEOUT => Ending::NoMoreDispatches,
+        StatusCode::GONE => Ending::Over,
+        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => Ending::NotReadable,
+        _ => Ending::Unheard,
+    }
+}
+
+/// What a whole answer says of each envelope of a bundle, in their order.
+pub fn endings_of_bundle(answer: &response::Parts, body: &[u8], letters: &[Letter]) -> Vec<Ending> {
+    let for_all = ending_of(answer);
+    if for_all != Ending::Completed {
+        return vec![for_all; letters.len()];
+    }
+    let wait = header(&answer.headers, RETRY_AFTER.as_str()).and_then(span_in).filter(|w| !w.is_zero());
+    let text = String::from_utf8_lossy(body);
+    let told = |id: &str| {
+        let mut lines = text.lines().map(|line| line.split_ascii_whitespace());
+        lines.find_map(|mut words| (words.next() == Some(id)).then(|| words.next()).flatten())
+    };
+    let ending = |letter: &Letter| match told(&letter.id.0) {
+        Some("accepted") => Ending::Completed,
+        Some("fault") => Ending::Failed,
+        Some("deferred") => Ending::TurnedAway(wait),
+        Some("expired") => Ending::Over,
+        Some("no_more") => Ending::NoMoreDispatches,
+        // An answer that says nothing of it: it may have run.
+        _ => Ending::Broken,
+    };
+    letters.iter().map(ending).collect()
+}
--- /dev/null
+++ b/crates/protocol/src/ending.rs
@@ -0,0 +1,62 @@
+//! The one list of ways in which a dispatch on a connection can end, and what each means to the module.
+
+use std::time::Duration;
+
+use reeddock::Outcome;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Answered: delivered.
+    Completed,
+    /// Answered: it failed there, and may have run.
+    Failed,
+    /// Turned away unseen, perhaps with a wait.
+    TurnedAway(Option<Duration>),
+    /// Not sent on: every slot of this forwarder was taken.
+    NoSlot,
+    /// Not sent on: the envelope has had all its dispatches.
+    NoMoreDispatches,
+    /// Not sent on: the envelope is over, and nothing more is owed.
+    Over,
+    /// Answered as not readable or too large; it never ran.
+    NotReadable,
+    /// Answered with what no one agreed on; it may have run.
+    Unheard,
+    /// The connection was refused, or the attempt to make it failed.
+    Refused,
+    /// No connection came up in time.
+    NeverUp,
+    /// The connection broke before the call's last byte was written.
+    CutShort,
+    /// The connection broke, or what came back was no answer, after the last byte was written.
+    Broken,
+    /// No answer in time.
+    TimedOut,
+    /// Given up by this forwarder.
+    CalledOff,
+    /// It never left: no descriptor was free for it, or the ledger could not be written first.
+    NotBegun,
+}
+
+impl Ending {
+    /// The only place where an ending becomes the module's outcome.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Ending::Completed => Outcome::Completed,
+            Ending::Failed | Ending::Unheard => Outcome::Error,
+            Ending::TurnedAway(wait) => Outcome::Full(wait),
+            // These two say nothing of room at the target, so that they are no `Full`.
+            Ending::NoMoreDispatches | Ending::Over => Outcome::Unsent,
+            Ending::NoSlot | Ending::NotReadable | Ending::NotBegun => Outcome::Unsent,
+            Ending::Refused | Ending::NeverUp | Ending::CutShort => Outcome::NoConnection,
+            Ending::Broken => Outcome::Broken,
+            Ending::TimedOut => Outcome::TimedOut,
+            Ending::CalledOff => Outcome::CalledOff,
+        }
+    }
+
+    /// Whether the envelope is over with it, with no notice owed.
+    pub fn ends_envelope(self) -> bool {
+        matches!(self, Ending::Completed | Ending::Over)
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/lib.rs
@@ -0,0 +1,26 @@
+//! The messages of a forwarder on sockets, as small typed values: each is decoded once and encoded once. The
+//! names on the wire end here. There is no input or output in this package, and nothing is decided.
+
+mod call;
+mod ending;
+mod hand_in;
+mod list;
+mod notice;
+
+pub use call::{bundle, ending_of, endings_of_bundle, one, Letter};
+pub use ending::Ending;
+pub use hand_in::{Answer, HandIn, MOST_BODY};
+pub use list::{watch, Entry, ListPart};
+pub use notice::{notices, GivenUp, Notice};
+
+/// What is wrong with a message, in one line.
+pub type Fault = String;
+
+/// Seconds with decimals, as spans travel in headers.
+fn span_in(text: &str) -> Option<std::time::Duration> {
+    text.trim().parse::<f64>().ok().and_then(|s| std::time::Duration::try_from_secs_f64(s).ok())
+}
+
+fn header<'a>(headers: &'a http::HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim)
+}
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -7,10 +7,11 @@
 
 use base64::{engine::general_purpose::STANDARD, Engine};
 use reeddock::{
-    CategoryTerms, DestinationId, DispatchNo, Effect, EnvelopeId, Forwarder, Group, Host, KeyId, Listing,
-    Outcome, PeerId, Standing, TargetId, Terms,
+    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, Listing, Outcome, PeerId, Standing,
+    TargetId,
 };
-use serde_json::{json, Map, Value};
+use reeddock_terms::terms;
+use serde_json::{json, Value};
 
 /// What is wrong with a batch, in one line.
 pub type Fault = String;
@@ -278,69 +279,3 @@
     }
     Ok(())
 }
-
-/// The settings under the module's names. What is absent or of another type is passed on as untold.
-fn terms(seed: u64, info: &Map<String, Value>) -> Terms {
-    let empty = Map::new();
-    let part = |name: &str| info.get(name).and_then(Value::as_object).unwrap_or(&empty);
-    let list = |value: Option<&Value>| value.and_then(Value::as_array).cloned().unwrap_or_default();
-    let text = |value: Option<&Value>| value.and_then(Value::as_str).unwrap_or_default().to_owned();
-    let whole = |value: Option<&Value>| value.and_then(Value::as_u64);
-    let span = |value: Option<&Value>| value.and_then(Value::as_u64).map(Duration::from_micros);
-    let number = |value: Option<&Value>| value.and_then(Value::as_f64);
-    let flag = |value: Option<&Value>| value.and_then(Value::as_bool).unwrap_or_default();
-    let (family, limits, guarantees) = (part("familyInfo"), part("policyLimits"), part("guarantees"));
-    let batches = list(family.get("batchByKind"));
-    let aparts = list(family.get("kindApart"));
-    let category = |c: &Value| CategoryTerms {
-        name: text(c.get("name")),
-        effect: match c.get("effect").and_then(Value::as_str) {
-            Some("idempotent") => Some(Effect::Pure),
-            Some("at_most_once") => Some(Effect::Effectful),
-            Some("deduplicated") => span(c.get("windowUs")).map(|window| Effect::Receipted {
-                window,
-                group: match c.get("dedupScope").and_then(Value::as_str) {
-                    Some("all") => Group::All,
-                    _ => Group::Zone,
-                },
-            }),
-            _ => None,
-        },
-        promised: span(c.get("onTimeUs")),
-        outer_limit: span(c.get("giveUpUs")),
-        credit: number(c.get("importance")),
-        late_credit: number(c.get("lateWorth")),
-        ordered: flag(c.get("sequential")),
-    };
-    Terms {
-        seed,
-        forwarders: whole(info.get("balancers")),
-        zone: text(info.get("az")),
-        categories: list(info.get("classes")).iter().map(category).collect(),
-        kinds: list(info.get("kinds"))
-            .iter()
-            .enumerate()
-            .map(|(n, kind)| (text(Some(kind)), flag(aparts.get(n)), whole(batches.get(n))))
-            .collect(),
-        tenants: list(info.get("realms"))
-            .iter()
-            .map(|t| (text(t.get("name")), number(t.get("quotaPerS"))))
-            .collect(),
-        over_share_credit: number(info.get("overShareWorth")),
-        halving: family.get("decay").and_then(Value::as_str) == Some("halving"),
-        slots: whole(family.get("maxCalls")),
-        room: whole(limits.get("openCap")),
-        dispatch_cap: whole(limits.get("attemptsCap")),
-        may_duplicate: flag(limits.get("mayDuplicate")),
-        come_back: span(limits.get("maxRetryAfterUs")).filter(|_| flag(limits.get("retryAfter"))),
-        cold_from: number(guarantees.get("coldFrom")),
-        warm_within: span(guarantees.get("warmWithinUs")),
-        fall_multiple: number(guarantees.get("fallMultiple")),
-        tip_after: span(guarantees.get("tipAfterUs")),
-        key_rest: span(guarantees.get("keyQuietUs")),
-        ask_within: span(guarantees.get("mustAskInUs"))
-            .filter(|_| info.get("discovery").and_then(Value::as_str) == Some("subscribe")),
-        weights_are_rates: matches!(info.get("weights").and_then(Value::as_str), Some("nominal" | "rough")),
-        cross_zone_price: number(part("tariffs").get("crossZone")),
-    }
-}
