What the ledger holds goes back to the module at a start, with its past dispatches

Seen: at a start the ledger was read, and nothing that it held was owed any more. control.rs now has recall: what is out when a process ends may have run, so that an effectful one is broken off, and others go again inside their window. Before a stop, effectful envelopes are not sent where the answer would come after it. A wait beside a bundle's accepted envelopes is kept too.

--- a/crates/forwarder/src/calls.rs
+++ b/crates/forwarder/src/calls.rs
@@ -11,7 +11,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use reeddock::{DispatchNo, EnvelopeId};
+use reeddock::{DispatchNo, EnvelopeId, TargetId};
 use reeddock_protocol::{self as protocol, Ending, Letter};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
@@ -22,12 +22,21 @@
 
 /// One call to one target.
 pub struct Call {
+    pub target: TargetId,
     pub to: SocketAddr,
     pub letters: Vec<Letter>,
     /// How long its answer is waited for.
     pub wait: Duration,
 }
 
+/// What came of a call.
+pub struct Carried {
+    /// How each envelope of it ended, in their order.
+    pub endings: Vec<Ending>,
+    /// A wait that the target asks for beside what it took on.
+    pub wait: Option<Duration>,
+}
+
 /// Carries calls. Dropping the future of one ends its connection, and so gives the call up.
 #[derive(Clone)]
 pub struct Courier {
@@ -39,10 +48,9 @@
 const REST_AT_MOST: Duration = Duration::from_secs(2);
 
 impl Service<Call> for Courier {
-    /// How each envelope of the call ended, in their order.
-    type Response = Vec<Ending>;
+    type Response = Carried;
     type Error = Infallible;
-    type Future = Pin<Box<dyn Future<Output = Result<Vec<Ending>, Infallible>> + Send>>;
+    type Future = Pin<Box<dyn Future<Output = Result<Carried, Infallible>> + Send>>;
 
     fn poll_ready(&mut self, _: &mut Context) -> Poll<Result<(), Infallible>> {
         Poll::Ready(Ok(()))
@@ -52,12 +60,13 @@
         let connections = self.connections.clone();
         Box::pin(async move {
             let count = call.letters.len();
-            Ok(carry(connections, call).await.unwrap_or_else(|ending| vec![ending; count]))
+            let none = |ending| Carried { endings: vec![ending; count], wait: None };
+            Ok(carry(connections, call).await.unwrap_or_else(none))
         })
     }
 }
 
-async fn carry(connections: Connections, call: Call) -> Result<Vec<Ending>, Ending> {
+async fn carry(connections: Connections, call: Call) -> Result<Carried, Ending> {
     let request = match &call.letters[..] {
         [letter] => protocol::one(call.to, letter, call.wait),
         letters => protocol::bundle(call.to, letters, call.wait),
@@ -73,7 +82,7 @@
         if connection.ready().await {
             connections.put(call.to, connection);
         }
-        return Ok(endings);
+        return Ok(Carried { endings, wait: protocol::wait_of(&head) });
     }
     // The head says all. The next call to this target, which may follow at once, finds the connection free if
     // the rest comes shortly.
@@ -81,7 +90,7 @@
     if timeout(REST_SHORTLY, &mut rest).await.is_err() {
         tokio::spawn(timeout(REST_AT_MOST, rest));
     }
-    Ok(vec![protocol::ending_of(&head)])
+    Ok(Carried { endings: vec![protocol::ending_of(&head)], wait: None })
 }
 
 async fn finish(connections: Connections, to: SocketAddr, mut connection: Connection, mut body: Incoming) {
@@ -119,11 +128,17 @@
             }
         });
     }
+    let target = call.target;
     let mut carried = courier.oneshot(call);
     while waiting.iter().any(Option::is_some) {
         let ended = tokio::select! {
             biased;
-            Ok(endings) = &mut carried => endings.into_iter().enumerate().collect(),
+            Ok(Carried { endings, wait }) = &mut carried => {
+                if let Some(wait) = wait {
+                    let _ = owner.send(Event::Wait { target, wait }).await;
+                }
+                endings.into_iter().enumerate().collect()
+            }
             Some(ended) = patience.next() => vec![ended],
         };
         for (place, ending) in ended {
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use reeddock::{DispatchNo, EnvelopeId, Forwarder, Host, Listing, Outcome, PeerId, TargetId};
-use reeddock_ledger::{Ledger, Record, Taken};
+use reeddock::{
+    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, Listing, Outcome, Past, PeerId, TargetId,
+};
+use reeddock_ledger::{Ledger, Record, Taken, Unended};
 use reeddock_protocol::{Answer, Ending, GivenUp, HandIn, Letter, ListPart, Notice};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep_until, Instant};
@@ -33,6 +35,11 @@
         no: DispatchNo,
         ending: Ending,
     },
+    /// A target asked for a wait while it took envelopes on.
+    Wait {
+        target: TargetId,
+        wait: Duration,
+    },
     List(ListPart),
     ListFailed,
     /// The platform has these notices.
@@ -152,18 +159,20 @@
             };
             let now = self.clock.now();
             let mut more = first;
-            for _ in 0..EVENTS_A_TURN {
+            let mut heard = 0;
+            loop {
                 match more.take() {
-                    Some(Event::Leaving(by)) => stop = Some(by),
+                    Some(Event::Leaving(by)) => {
+                        self.forwarder.leaving(self.clock.at(by));
+                        stop = Some(by);
+                    }
                     Some(event) => self.hear(event, now),
                     None => break,
                 }
-                more = queue.try_recv().ok();
-            }
-            if let Some(Event::Leaving(by)) = more {
-                stop = Some(by);
-            } else if let Some(event) = more {
-                self.hear(event, now);
+                heard += 1;
+                if heard < EVENTS_A_TURN {
+                    more = queue.try_recv().ok();
+                }
             }
             while self.state.wakes.first().is_some_and(|at| *at <= now) {
                 self.state.wakes.pop_first();
@@ -187,6 +196,7 @@
         match event {
             Event::HandIn { hand_in, at, reply } => self.hand_in(hand_in, at, reply, now),
             Event::Ended { envelope, no, ending } => self.ended(envelope, no, ending, now),
+            Event::Wait { target, wait } => self.forwarder.told_to_wait(now, target, wait),
             Event::List(part) => self.list(part),
             Event::ListFailed => self.forwarder.list_failed(&mut self.state.desk),
             Event::Told(ids) => {
@@ -274,8 +284,33 @@
         self.forwarder.list_ends();
     }
 
-    /// Takes up what the ledger holds from before this start.
+    /// Hands the module what the ledger holds from before this start, in the order in which it was taken on.
     pub fn take_up(&mut self) {
+        let now = self.clock.now();
+        let unended: Vec<Unended> = self.ledger.unended().into_iter().cloned().collect();
+        for Unended { taken, dispatches, .. } in unended {
+            let id = EnvelopeId(Arc::from(taken.id.as_str()));
+            let past: Vec<Past> = dispatches
+                .iter()
+                .map(|begun| Past {
+                    target: self.number(&begun.target),
+                    sent: self.clock.read(begun.at),
+                    never_ran: begun.ended == Some(true),
+                })
+                .collect();
+            let (key, destination) = (taken.key.map(KeyId), DestinationId(taken.destination));
+            let outer_limit = self.clock.read(taken.outer_limit);
+            let (category, tenant) = (taken.category.as_str(), taken.tenant.as_deref());
+            let desk = &mut self.state.desk;
+            self.forwarder.hand_in(now, id.clone(), category, tenant, key, outer_limit, destination, desk);
+            self.forwarder.recall(now, &id, &past, desk);
+            self.state.bodies += taken.body.len() as u64;
+            self.state.owed.insert(id, Owed { body: taken.body, dispatches: past.len() as u32 });
+        }
+        let (owed, untold) = (self.state.owed.len(), self.ledger.untold().count());
+        if owed + untold > 0 {
+            tracing::info!(owed, untold, "taken up from the ledger");
+        }
         for notice in self.ledger.untold() {
             self.state.untold += 1;
             let _ = self.notices.send(notice);
@@ -403,7 +438,7 @@
                     letters.push(Letter { id: id.clone(), body });
                     dispatched.push(Dispatched { envelope: id, no, time_out, called_off });
                 }
-                let call = Call { to, letters, wait };
+                let call = Call { target, to, letters, wait };
                 tokio::spawn(see_through(self.courier.clone(), call, dispatched, self.events.clone()));
             }
         }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Unended {
     pub taken: Taken,
+    /// Its place among all that were taken on.
+    place: u64,
     /// In the order of their numbers.
     pub dispatches: Vec<Begun>,
 }
@@ -56,6 +58,7 @@
     most_owed: u64,
     owed: u64,
     unended: BTreeMap<EnvelopeId, Unended>,
+    places: u64,
     untold: Untold,
     buffer: Vec<u8>,
 }
@@ -87,6 +90,7 @@
             most_owed: most_bytes / 4,
             owed: 0,
             unended: BTreeMap::new(),
+            places: 0,
             untold: Untold::new(),
             buffer: Vec::new(),
         };
@@ -103,8 +107,11 @@
         Ok(ledger)
     }
 
-    pub fn unended(&self) -> impl Iterator<Item = &Unended> {
-        self.unended.values()
+    /// What is owed its end, in the order in which it was taken on.
+    pub fn unended(&self) -> Vec<&Unended> {
+        let mut unended: Vec<&Unended> = self.unended.values().collect();
+        unended.sort_by_key(|u| u.place);
+        unended
     }
 
     /// What the platform still has to be told.
@@ -147,11 +154,11 @@
     /// Puts a file with what is still owed in the place of the old one.
     fn compact(&mut self) -> io::Result<()> {
         let mut bytes = Vec::new();
-        for (id, envelope) in &self.unended {
+        for envelope in self.unended() {
             record::write(&mut bytes, &Record::Taken(envelope.taken.clone()));
             for (no, begun) in envelope.dispatches.iter().enumerate() {
                 let no = no as u32;
-                let (id, target) = (id.0.to_string(), begun.target.to_string());
+                let (id, target) = (envelope.taken.id.clone(), begun.target.to_string());
                 record::write(&mut bytes, &Record::Begun { id: id.clone(), no, target, at: begun.at });
                 if let Some(never_ran) = begun.ended {
                     record::write(&mut bytes, &Record::Returned { id, no, never_ran });
@@ -178,7 +185,8 @@
             Record::Taken(taken) => {
                 self.owed += record::size(&taken);
                 let id = EnvelopeId(Arc::from(taken.id.as_str()));
-                self.unended.insert(id, Unended { taken, dispatches: Vec::new() });
+                self.places += 1;
+                self.unended.insert(id, Unended { taken, place: self.places, dispatches: Vec::new() });
             }
             Record::Begun { id, no, target, at } => {
                 if let Some(envelope) = self.unended.get_mut(&EnvelopeId(Arc::from(id))) {
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -39,9 +39,14 @@
     post(to, "/events/bundle", wait).body(Full::new(body.freeze())).map_err(|e| e.to_string())
 }
 
+/// The wait that an answer asks for.
+pub fn wait_of(answer: &response::Parts) -> Option<Duration> {
+    header(&answer.headers, RETRY_AFTER.as_str()).and_then(span_in).filter(|w| !w.is_zero())
+}
+
 /// What the head of an answer says of all envelopes of its call.
 pub fn ending_of(answer: &response::Parts) -> Ending {
-    let wait = || header(&answer.headers, RETRY_AFTER.as_str()).and_then(span_in).filter(|w| !w.is_zero());
+    let wait = || wait_of(answer);
     match answer.status {
         StatusCode::OK => Ending::Completed,
         StatusCode::INTERNAL_SERVER_ERROR => Ending::Failed,
@@ -61,7 +66,6 @@
     if for_all != Ending::Completed {
         return vec![for_all; letters.len()];
     }
-    let wait = header(&answer.headers, RETRY_AFTER.as_str()).and_then(span_in).filter(|w| !w.is_zero());
     let text = String::from_utf8_lossy(body);
     let told = |id: &str| {
         let mut lines = text.lines().map(|line| line.split_ascii_whitespace());
@@ -70,7 +74,7 @@
     let ending = |letter: &Letter| match told(&letter.id.0) {
         Some("accepted") => Ending::Completed,
         Some("fault") => Ending::Failed,
-        Some("deferred") => Ending::TurnedAway(wait),
+        Some("deferred") => Ending::TurnedAway(wait_of(answer)),
         Some("expired") => Ending::Over,
         Some("no_more") => Ending::NoMoreDispatches,
         // An answer that says nothing of it: it may have run.
--- a/src/control.rs
+++ b/src/control.rs
@@ -200,15 +200,12 @@
     fn usual_rate(&self, target: &Target, now: Duration) -> f64 {
         let Some(d) = self.destinations.get(&target.destination) else { return 0.0 };
         let elapsed = now.saturating_sub(d.first_seen).max(self.card.warm_within).as_secs_f64();
-        let active = |t: &&TargetId| self.targets.get(t).is_some_and(|t| t.standing == Standing::Active);
-        let targets = d.targets.iter().filter(active).count().max(1) as f64;
+        let targets = self.active(target.destination).count().max(1) as f64;
         let seen = d.arrivals as f64 / elapsed / targets;
         // A listed rate may be half too high; capacity lies over it, and a small sample errs by more.
-        match target.weight.filter(|_| self.card.weights_are_rates) {
-            Some(w) if self.apart(target) => seen.max(w / self.card.forwarders),
-            Some(w) => seen.max(w / self.card.forwarders / targets),
-            None => seen,
-        }
+        let sharing = if self.apart(target) { 1.0 } else { targets };
+        let listed = target.weight.filter(|_| self.card.weights_are_rates);
+        listed.map_or(seen, |w| seen.max(w / self.card.forwarders / sharing))
     }
 
     /// Guard for rule 4. Symptom: a target that failed calls, or refused all, may be on its way back, and
@@ -229,9 +226,7 @@
         }
         // Departure: where calls carry many envelopes and all targets of a shared destination are in trouble,
         // these have one budget, for fewer and fuller calls.
-        let of_destination = self.destinations.get(&target.destination).into_iter().flat_map(|d| &d.targets);
-        let mut pool: Vec<&Target> = of_destination.filter_map(|t| self.targets.get(t)).collect();
-        pool.retain(|t| t.standing == Standing::Active);
+        let mut pool: Vec<&Target> = self.active(target.destination).map(|(_, t)| t).collect();
         if self.apart(target) || self.batch(target) < 2 || pool.iter().any(|t| t.trouble.is_none()) {
             pool = vec![target];
         }
@@ -294,26 +289,21 @@
         }
         // Calls that nothing has answered since. Of those from before an answer, which hang or are long, none
         // holds back what rejoins.
-        let out = || self.dispatches.values().filter(|d| d.route == route);
-        let mut calls: Vec<u64> = out().filter(|d| d.sent >= circuit.last_answer).map(|d| d.call).collect();
-        calls.sort();
-        calls.dedup();
-        if circuit.rejoin.is_some_and(|most| calls.len() >= most) {
+        let calls = self.calls_since(route, circuit.last_answer);
+        if circuit.rejoin.is_some_and(|most| calls >= most) {
             return Leave::Hold(None);
         }
         // Symptom: calls are out and none has been answered for long. Against a silent or hanging destination
         // that takes all slots before its first time-out; also covers stalls and slowdowns, which it paces by
         // their own answers. It can harm by waiting behind one very long piece of work, hence two calls.
-        if circuit.calls_out >= 2 && !calls.is_empty() {
-            let since = out().map(|d| d.sent).min().unwrap_or(now).max(circuit.last_answer);
+        if circuit.calls_out >= 2 && calls > 0 {
+            let out = self.dispatches.values().filter(|d| d.route == route);
+            let since = out.map(|d| d.sent).min().unwrap_or(now).max(circuit.last_answer);
             if now.saturating_sub(since) > self.overdue_after(circuit) {
                 return Leave::Hold(None);
             }
         }
-        match self.push_room(route, target, now) {
-            Err(at) => Leave::Hold(Some(at)),
-            Ok(_) => Leave::Send,
-        }
+        self.push_room(route, target, now).map_or_else(|at| Leave::Hold(Some(at)), |_| Leave::Send)
     }
 
     /// What one outcome tells of the route and the target.
@@ -321,10 +311,7 @@
         let (route, id, sent) = (dispatch.route, dispatch.target, dispatch.sent);
         let Some(target) = self.targets.get(&id) else { return };
         let recovery_delay = self.recovery_delay(target, now);
-        let of_route: Vec<TargetId> = match (route, self.destinations.get(&target.destination)) {
-            (Route::Shared(_), Some(d)) => d.targets.iter().copied().collect(),
-            _ => vec![id],
-        };
+        let of_route = self.members(route);
         // A route takes at least half of what it is usually sent, in so many calls or in fewer, fuller ones.
         let usual = self.usual_rate(target, now) * of_route.len() as f64 / self.batch(target) as f64;
         let most = (self.card.forwarders / LEAST_CAPACITY).min(2.0 / usual.max(0.01));
@@ -417,6 +404,12 @@
                 return false;
             }
         }
+        // What is out when the program stops may have run, and an effectful one is lost by it.
+        let mean = self.circuits.get(&self.route_of(id, target)).and_then(|c| c.mean).or(self.pace);
+        let ends = now + seconds(TRIAL_MEANS * mean.unwrap_or_default());
+        if effect == Effect::Effectful && self.leave_by.is_some_and(|by| ends >= by) {
+            return false;
+        }
         // A further dispatch goes where answers have earned it, or where nothing was sent for a while. What
         // was refused may also go by the spacing alone, where own calls are many enough to learn that.
         let usual = self.usual_rate(target, now).max(0.01);
@@ -493,13 +486,8 @@
         self.make_room(now, host);
         self.keys.retain(|_, line| !line.line.is_empty() || now < line.rest_until);
         while self.calls.len() < self.card.slots {
-            let mut turns: Vec<(usize, u64, DestinationId)> = Vec::new();
-            for id in &self.waiting {
-                let d = &self.destinations[id];
-                let out =
-                    d.targets.iter().filter_map(|t| self.targets.get(t)).map(|t| t.calls_out as usize).sum();
-                turns.push((out, d.last_turn, *id));
-            }
+            let turn = |id: &DestinationId| (self.calls_out(*id), self.destinations[id].last_turn, *id);
+            let mut turns: Vec<_> = self.waiting.iter().map(turn).collect();
             // Fewest calls out first, then whoever waited longest for a turn.
             turns.sort();
             if !turns.iter().any(|(_, _, d)| self.take_turn(*d, now, host, &mut wake)) {
@@ -544,10 +532,9 @@
         // heard of lately; where all are slow alike, none is called off.
         let mut lively = Duration::ZERO;
         for id in &self.waiting {
-            for target in &self.destinations[id].targets {
-                let t = &self.targets[target];
-                let route = self.route_of(*target, t);
-                if t.standing != Standing::Active || self.admit(route, t, now) != Leave::Send {
+            for (target, t) in self.active(*id) {
+                let route = self.route_of(target, t);
+                if self.admit(route, t, now) != Leave::Send {
                     continue;
                 }
                 let heard = self.circuits.get(&route).map_or(Duration::ZERO, |c| c.last_answer);
@@ -618,12 +605,11 @@
         wake: &mut Option<Duration>,
     ) -> bool {
         let mut open: BTreeMap<TargetId, (Route, bool)> = BTreeMap::new();
-        for id in &self.destinations[&destination].targets {
-            let Some(t) = self.targets.get(id).filter(|t| t.standing == Standing::Active) else { continue };
-            let route = self.route_of(*id, t);
+        for (id, t) in self.active(destination) {
+            let route = self.route_of(id, t);
             match self.admit(route, t, now) {
-                Leave::Send => open.insert(*id, (route, false)),
-                Leave::Trial => open.insert(*id, (route, true)),
+                Leave::Send => open.insert(id, (route, false)),
+                Leave::Trial => open.insert(id, (route, true)),
                 Leave::Hold(until) => {
                     sooner(wake, until);
                     None
@@ -662,7 +648,7 @@
             able.retain(rested);
         }
         let target = self.choose(&able, category);
-        let route = open[&target].0;
+        let leave @ (route, _) = open[&target];
         // Many envelopes in one call push a cold target more than one does.
         let fits =
             1.0 + (self.push_room(route, &self.targets[&target], now).unwrap_or(1.0) - 1.0) / PUSH_PER_EXTRA;
@@ -670,7 +656,7 @@
         let may = |id: &&EnvelopeId| self.may_go(&self.envelopes[*id], target, &self.targets[&target], now);
         let others = ranked.iter().filter(|id| *id != lead).take(batch - 1).filter(may);
         let going = std::iter::once(lead).chain(others).cloned().collect();
-        self.dispatch(going, target, route, trial, now, host);
+        self.dispatch(going, target, leave, now, host);
         true
     }
 
@@ -679,8 +665,7 @@
         &mut self,
         going: Vec<EnvelopeId>,
         target: TargetId,
-        route: Route,
-        trial: bool,
+        (route, trial): (Route, bool),
         now: Duration,
         host: &mut dyn Host,
     ) {
@@ -729,12 +714,10 @@
         if !envelope.out.is_empty() {
             return;
         }
-        let effect = forwarder.card.categories[envelope.category].effect;
-        let spent = envelope.dispatches >= forwarder.card.dispatch_cap || now >= envelope.outer_limit;
-        if spent || (effect == Effect::Effectful && envelope.may_have_run.is_some()) {
+        let destination = envelope.destination;
+        if forwarder.spent(&id, now) {
             forwarder.give_up(&id, now, host);
         } else {
-            let destination = envelope.destination;
             forwarder.hold(destination, id);
         }
     })
@@ -743,6 +726,15 @@
 // # Final answers.
 
 impl Forwarder {
+    /// Whether an envelope may not be dispatched again, whatever its destination does.
+    fn spent(&self, id: &EnvelopeId, now: Duration) -> bool {
+        let Some(envelope) = self.envelopes.get(id) else { return true };
+        let effect = self.card.categories[envelope.category].effect;
+        envelope.dispatches >= self.card.dispatch_cap
+            || now >= envelope.outer_limit
+            || (effect == Effect::Effectful && envelope.may_have_run.is_some())
+    }
+
     /// The one final answer for an envelope that is given up on: shed where handing it in again is harmless.
     fn give_up(&mut self, id: &EnvelopeId, now: Duration, host: &mut dyn Host) {
         let Some(envelope) = self.envelopes.get(id) else { return };
@@ -766,12 +758,9 @@
     /// When a destination may take an envelope again, as far as that is known.
     fn come_back(&self, destination: DestinationId, now: Duration) -> Option<Duration> {
         let most = self.card.come_back?;
-        let d = self.destinations.get(&destination)?;
-        let opens = d.targets.iter().filter_map(|id| {
-            let circuit = self.circuits.get(&self.route_of(*id, self.targets.get(id)?))?;
-            Some(circuit.wait_until.max(circuit.restrained_until.unwrap_or_default()).saturating_sub(now))
-        });
-        Some(opens.min().unwrap_or_default().max(self.card.recovery_delay).min(most))
+        let opens = |c: &Circuit| c.wait_until.max(c.restrained_until.unwrap_or_default());
+        let opens = self.circuits_of(destination).map(opens).min().unwrap_or_default();
+        Some(opens.saturating_sub(now).max(self.card.recovery_delay).min(most))
     }
 
     /// Forgets an envelope that has its final answer, and calls off what is still out for it.
@@ -785,13 +774,9 @@
     /// asked wait of every target ends too late, or a receipt has run out.
     fn answer_hopeless(&mut self, now: Duration, host: &mut dyn Host, wake: &mut Option<Duration>) {
         let mut hopeless = Vec::new();
-        for d in self.waiting.iter().filter_map(|id| self.destinations.get(id)) {
-            let circuits = d.targets.iter().filter_map(|id| {
-                let t = self.targets.get(id).filter(|t| t.standing == Standing::Active)?;
-                self.circuits.get(&self.route_of(*id, t))
-            });
-            let opens = circuits.clone().map(|c| c.wait_until).min().unwrap_or_default();
-            for id in &d.held {
+        for destination in &self.waiting {
+            let opens = self.circuits_of(*destination).map(|c| c.wait_until).min().unwrap_or_default();
+            for id in &self.destinations[destination].held {
                 let Some(e) = self.envelopes.get(id) else { continue };
                 let mut end = e.outer_limit;
                 if let (Some((first, _)), Effect::Receipted { window, .. }) =
@@ -816,8 +801,8 @@
     fn make_room(&mut self, now: Duration, host: &mut dyn Host) {
         while self.envelopes.len() >= self.card.room {
             let fullest = self.waiting.iter().max_by_key(|id| self.destinations[*id].held.len());
-            let Some(id) = fullest else { return };
-            let last = self.ranked(*id, now).pop().or_else(|| self.destinations[id].held.last().cloned());
+            let Some(id) = fullest.copied() else { return };
+            let last = self.ranked(id, now).pop().or_else(|| self.destinations[&id].held.last().cloned());
             let Some(last) = last else { return };
             self.give_up(&last, now, host);
         }
@@ -879,6 +864,21 @@
         self.take(id, envelope, now);
     }
 
+    /// The host itself has handed in again what it took on before this start, with its dispatches until then.
+    pub fn recall(&mut self, now: Duration, id: &EnvelopeId, past: &[Past], host: &mut dyn Host) {
+        let Some(envelope) = self.envelopes.get_mut(id) else { return };
+        envelope.dispatches = past.len() as u32;
+        let unsure = past.iter().filter(|p| !p.never_ran).map(|p| (p.sent, p.target));
+        envelope.may_have_run = unsure.min_by_key(|u| u.0);
+        if envelope.may_have_run.is_some() {
+            // It may be running still.
+            self.rest_line(id, now + self.card.key_rest);
+        }
+        if self.spent(id, now) {
+            self.give_up(id, now, host);
+        }
+    }
+
     /// Whether a tenant's traffic is over its share now. A forwarder sees its own part only and cannot tell
     /// how traffic is spread, so that it judges by the whole share: what is over that here is over it
     /// everywhere. Two seconds of the share may come at once.
@@ -910,16 +910,8 @@
         if let Some(target) = self.targets.get(&dispatch.target) {
             self.forget_old(target.destination, now);
         }
-        // Rule 6. Each envelope of a call may be the one that is told to wait.
-        if let (Outcome::Full(Some(wait)), Some(circuit)) = (outcome, self.circuits.get_mut(&dispatch.route))
-        {
-            circuit.wait_until = circuit.wait_until.max(now + wait);
-            circuit.told_wait = wait;
-            // Symptom: all that was held goes at once when a long wait ends, to a destination that was shut
-            // and is cold. A wait as long as the recovery delay is a restraint, and ends with a trial.
-            if wait >= self.card.recovery_delay {
-                circuit.re_arm(now, wait);
-            }
+        if let Outcome::Full(Some(wait)) = outcome {
+            self.asked_to_wait(now, dispatch.route, wait);
         }
         // Symptom: one envelope is answered with errors wherever it goes, and as the trial keeps its
         // destination restrained. Its second error tells of the envelope and not of the route. It can harm by
@@ -955,6 +947,18 @@
         }
     }
 
+    /// Rule 6. Each envelope of a call may be the one that is told to wait, or its answer speaks to them all.
+    pub(crate) fn asked_to_wait(&mut self, now: Duration, route: Route, wait: Duration) {
+        let Some(circuit) = self.circuits.get_mut(&route) else { return };
+        circuit.wait_until = circuit.wait_until.max(now + wait);
+        circuit.told_wait = wait;
+        // Symptom: all that was held goes at once when a long wait ends, to a destination that was shut and
+        // is cold. A wait as long as the recovery delay is a restraint, and ends with a trial.
+        if wait >= self.card.recovery_delay {
+            circuit.re_arm(now, wait);
+        }
+    }
+
     /// Symptom: connections to targets of a kind are not made. They take only so many, and idle ones of many
     /// forwarders fill them; where these are more than one's slots, each is closed after its call. Also eases
     /// destinations short of memory; it can harm where none was made because the target was down.
--- a/src/host.rs
+++ b/src/host.rs
@@ -69,6 +69,15 @@
     Gone,
 }
 
+/// A dispatch that was begun before this start of the program.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Past {
+    pub target: TargetId,
+    pub sent: Duration,
+    /// It is known to have ended, in a way that proves that it had no effect.
+    pub never_ran: bool,
+}
+
 /// What a list says of one target.
 pub struct Listing<'a> {
     pub target: TargetId,
--- a/src/state.rs
+++ b/src/state.rs
@@ -203,6 +203,8 @@
     /// No log line before this time.
     pub log_after: Duration,
     pub wake_at: Option<Duration>,
+    /// The program stops by then.
+    pub leave_by: Option<Duration>,
 }
 
 impl Forwarder {
@@ -228,6 +230,7 @@
             counter: 0,
             log_after: Duration::ZERO,
             wake_at: None,
+            leave_by: None,
         }
     }
 
@@ -376,6 +379,41 @@
         target.kind.and_then(|k| self.card.kinds.get(k)).is_some_and(|k| k.1)
     }
 
+    /// The targets that the list has for a destination now.
+    pub(crate) fn active(&self, destination: DestinationId) -> impl Iterator<Item = (TargetId, &Target)> {
+        let targets = self.destinations.get(&destination).into_iter().flat_map(|d| &d.targets);
+        targets
+            .filter_map(|id| self.targets.get(id).map(|t| (*id, t)))
+            .filter(|(_, t)| t.standing == Standing::Active)
+    }
+
+    pub(crate) fn circuits_of(&self, destination: DestinationId) -> impl Iterator<Item = &Circuit> {
+        self.active(destination).filter_map(|(id, t)| self.circuits.get(&self.route_of(id, t)))
+    }
+
+    /// Calls out to all targets of a destination.
+    pub(crate) fn calls_out(&self, destination: DestinationId) -> usize {
+        let targets = self.destinations.get(&destination).into_iter().flat_map(|d| &d.targets);
+        targets.filter_map(|id| self.targets.get(id)).map(|t| t.calls_out as usize).sum()
+    }
+
+    /// Calls to a route that are out and were sent no earlier.
+    pub(crate) fn calls_since(&self, route: Route, since: Duration) -> usize {
+        let out = self.dispatches.values().filter(|d| d.route == route && d.sent >= since);
+        out.map(|d| d.call).collect::<BTreeSet<u64>>().len()
+    }
+
+    /// The targets that share a route's fate.
+    pub(crate) fn members(&self, route: Route) -> Vec<TargetId> {
+        match route {
+            Route::Apart(target) => vec![target],
+            Route::Shared(destination) => {
+                let targets = self.destinations.get(&destination).into_iter().flat_map(|d| &d.targets);
+                targets.copied().collect()
+            }
+        }
+    }
+
     /// Envelopes in one call to a target at most.
     pub(crate) fn batch(&self, target: &Target) -> usize {
         target.kind.and_then(|k| self.card.kinds.get(k)).map_or(1, |k| k.2)
@@ -389,6 +427,18 @@
         }
     }
 
+    /// The program is asked to stop, and will by this time. What is not over then is kept by the host.
+    pub fn leaving(&mut self, by: Duration) {
+        self.leave_by = Some(by);
+    }
+
+    /// An answer that turned no envelope away told to wait.
+    pub fn told_to_wait(&mut self, now: Duration, target: TargetId, wait: Duration) {
+        if let Some(route) = self.targets.get(&target).map(|t| self.route_of(target, t)) {
+            self.asked_to_wait(now, route, wait);
+        }
+    }
+
     /// A probe has ended.
     pub fn probed(&mut self, _now: Duration, _target: TargetId, _well: bool) {}
 
