--- a/crates/daemon/src/duties.rs
+++ b/crates/daemon/src/duties.rs
@@ -1,8 +1,7 @@
 //! What a forwarder is told at its start: the configuration file, and the folder that lasts.
 
-use std::ffi::OsString;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use reeddock_forwarder::limits::Allowance;
@@ -18,7 +17,7 @@
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 const CLOSED_AFTER: Duration = Duration::from_secs(5);
 
-pub fn read(file: &Path, state: Option<OsString>) -> Result<Post, String> {
+pub fn read(file: &Path, state: PathBuf) -> Result<Post, String> {
     let name = file.display();
     let text = std::fs::read_to_string(file).map_err(|e| format!("cannot read {name}: {e}"))?;
     let mut told: Value = serde_json::from_str(&text).map_err(|e| format!("{name} is not JSON: {e}"))?;
@@ -41,7 +40,7 @@
     Ok(Post {
         listen: address("listen")?,
         discovery: address("discovery")?,
-        state: state.ok_or("EDGE_STATE names no folder that lasts")?.into(),
+        state,
         allowance: Allowance {
             memory_bytes: limit("memory_mb")?.saturating_mul(1_000_000),
             descriptors: limit("sockets")?.min(1 << 20) as usize,
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -305,7 +305,7 @@
     /// Hands the module what the ledger holds from before this start, in the order in which it was taken on.
     pub fn take_up(&mut self) {
         let now = self.clock.now();
-        let unended: Vec<Unended> = self.ledger.unended().into_iter().cloned().collect();
+        let unended: Vec<Unended> = self.ledger.books().unended().into_iter().cloned().collect();
         for Unended { taken, dispatches, .. } in unended {
             let id = EnvelopeId(Arc::from(taken.id.as_str()));
             let past: Vec<Past> = dispatches
@@ -325,11 +325,11 @@
             self.state.bodies += taken.body.len() as u64;
             self.state.owed.insert(id, Owed { body: taken.body, dispatches: past.len() as u32 });
         }
-        let (owed, untold) = (self.state.owed.len(), self.ledger.untold().count());
+        let (owed, untold) = (self.state.owed.len(), self.ledger.books().untold().count());
         if owed + untold > 0 {
             tracing::info!(owed, untold, "taken up from the ledger");
         }
-        for notice in self.ledger.untold() {
+        for notice in self.ledger.books().untold() {
             self.state.untold += 1;
             let _ = self.notices.send(notice);
         }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -4,47 +4,20 @@
 //! the end is cut at the next start. Once most of the file tells of envelopes that are over, what is still
 //! owed is written to a new file, which takes the place of the old one.
 
+mod books;
 mod record;
 
-use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
 
-use reeddock::EnvelopeId;
-use reeddock_protocol::{GivenUp, Notice};
+use reeddock_protocol::Notice;
 
+pub use books::{Begun, Books, Unended};
 pub use record::{Record, Taken};
 
 /// A file counts in whole blocks of so many bytes.
 const BLOCK: u64 = 512;
-/// What a notice takes up until the platform has been told.
-const UNTOLD: u64 = 160;
-
-/// A dispatch that was begun.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Begun {
-    /// The target's name in the list, which outlasts a process.
-    pub target: Arc<str>,
-    /// Microseconds of Unix time.
-    pub at: u64,
-    /// Known to have ended, and whether that proves that it never ran.
-    pub ended: Option<bool>,
-}
-
-/// An envelope that was taken on and is not over.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Unended {
-    pub taken: Taken,
-    /// Its place among all that were taken on.
-    place: u64,
-    /// In the order of their numbers.
-    pub dispatches: Vec<Begun>,
-}
-
-/// What the platform has not been told yet.
-type Untold = BTreeMap<EnvelopeId, GivenUp>;
 
 pub struct Ledger {
     path: PathBuf,
@@ -56,10 +29,7 @@
     /// file and the new one find room while one takes the other's place.
     most: u64,
     most_owed: u64,
-    owed: u64,
-    unended: BTreeMap<EnvelopeId, Unended>,
-    places: u64,
-    untold: Untold,
+    books: Books,
     buffer: Vec<u8>,
 }
 
@@ -67,6 +37,14 @@
     bytes.div_ceil(BLOCK) * BLOCK
 }
 
+/// Reads what a folder's ledger says is owed, and how many bytes at its end can't be read; changes nothing.
+pub fn look(folder: &Path) -> io::Result<(Books, usize)> {
+    let bytes = fs::read(folder.join("ledger"))?;
+    let mut books = Books::default();
+    let torn = books.read(&bytes).len();
+    Ok((books, torn))
+}
+
 impl Ledger {
     /// Opens the ledger of a folder that may hold `most_bytes`.
     pub fn open(folder: &Path, most_bytes: u64) -> io::Result<Ledger> {
@@ -88,17 +66,10 @@
             written: 0,
             most: most_bytes * 5 / 8,
             most_owed: most_bytes / 4,
-            owed: 0,
-            unended: BTreeMap::new(),
-            places: 0,
-            untold: Untold::new(),
+            books: Books::default(),
             buffer: Vec::new(),
         };
-        let mut rest = &bytes[..];
-        while let Some((record, after)) = record::read(rest) {
-            ledger.apply(record);
-            rest = after;
-        }
+        let rest = ledger.books.read(&bytes);
         ledger.written = (bytes.len() - rest.len()) as u64;
         if !rest.is_empty() {
             tracing::warn!(bytes = rest.len(), "the ledger ends in a torn record, which is cut off");
@@ -107,21 +78,14 @@
         Ok(ledger)
     }
 
-    /// What is owed its end, in the order in which it was taken on.
-    pub fn unended(&self) -> Vec<&Unended> {
-        let mut unended: Vec<&Unended> = self.unended.values().collect();
-        unended.sort_by_key(|u| u.place);
-        unended
-    }
-
-    /// What the platform still has to be told.
-    pub fn untold(&self) -> impl Iterator<Item = Notice> + '_ {
-        self.untold.iter().map(|(id, end)| Notice { id: id.clone(), end: *end })
+    /// All that is owed.
+    pub fn books(&self) -> &Books {
+        &self.books
     }
 
     /// Bytes that are free for what is taken on from here on.
     pub fn room(&self) -> u64 {
-        self.most_owed.saturating_sub(self.owed)
+        self.most_owed.saturating_sub(self.books.owed())
     }
 
     /// What an envelope takes up until it is over.
@@ -147,14 +111,14 @@
             return Err(e);
         }
         self.written += self.buffer.len() as u64;
-        records.into_iter().for_each(|record| self.apply(record));
+        records.into_iter().for_each(|record| self.books.apply(record));
         Ok(())
     }
 
     /// Puts a file with what is still owed in the place of the old one.
     fn compact(&mut self) -> io::Result<()> {
         let mut bytes = Vec::new();
-        for envelope in self.unended() {
+        for envelope in self.books.unended() {
             record::write(&mut bytes, &Record::Taken(envelope.taken.clone()));
             for (no, begun) in envelope.dispatches.iter().enumerate() {
                 let no = no as u32;
@@ -165,8 +129,8 @@
                 }
             }
         }
-        for (id, end) in &self.untold {
-            record::write(&mut bytes, &Record::Ended { id: id.0.to_string(), notice: Some(*end) });
+        for Notice { id, end } in self.books.untold() {
+            record::write(&mut bytes, &Record::Ended { id: id.0.to_string(), notice: Some(end) });
         }
         let new = self.path.with_extension("new");
         let mut file = OpenOptions::new().append(true).create(true).open(&new)?;
@@ -179,44 +143,4 @@
         self.written = bytes.len() as u64;
         Ok(())
     }
-
-    fn apply(&mut self, record: Record) {
-        match record {
-            Record::Taken(taken) => {
-                self.owed += record::size(&taken);
-                let id = EnvelopeId(Arc::from(taken.id.as_str()));
-                self.places += 1;
-                self.unended.insert(id, Unended { taken, place: self.places, dispatches: Vec::new() });
-            }
-            Record::Begun { id, no, target, at } => {
-                if let Some(envelope) = self.unended.get_mut(&EnvelopeId(Arc::from(id))) {
-                    // Numbers follow each other, and a gap would be a dispatch that is not known of.
-                    let begun = Begun { target: Arc::from(target), at, ended: None };
-                    let known = envelope.dispatches.len().max(no as usize + 1);
-                    envelope.dispatches.resize(known, begun);
-                }
-            }
-            Record::Returned { id, no, never_ran } => {
-                let envelope = self.unended.get_mut(&EnvelopeId(Arc::from(id)));
-                if let Some(begun) = envelope.and_then(|e| e.dispatches.get_mut(no as usize)) {
-                    begun.ended = Some(never_ran);
-                }
-            }
-            Record::Ended { id, notice } => {
-                let id = EnvelopeId(Arc::from(id));
-                if let Some(envelope) = self.unended.remove(&id) {
-                    self.owed = self.owed.saturating_sub(record::size(&envelope.taken));
-                }
-                if let Some(end) = notice {
-                    self.owed += UNTOLD;
-                    self.untold.insert(id, end);
-                }
-            }
-            Record::Told { id } => {
-                if self.untold.remove(&EnvelopeId(Arc::from(id))).is_some() {
-                    self.owed = self.owed.saturating_sub(UNTOLD);
-                }
-            }
-        }
-    }
 }
--- a/crates/ledger/tests/ledger.rs
+++ b/crates/ledger/tests/ledger.rs
@@ -51,7 +51,7 @@
 }
 
 fn ids(ledger: &Ledger) -> Vec<String> {
-    ledger.unended().iter().map(|u| u.taken.id.clone()).collect()
+    ledger.books().unended().iter().map(|u| u.taken.id.clone()).collect()
 }
 
 #[test]
@@ -66,14 +66,14 @@
     drop(ledger);
     let mut ledger = folder.open();
     assert_eq!(ids(&ledger), ["b"]);
-    let b = ledger.unended()[0].clone();
+    let b = ledger.books().unended()[0].clone();
     assert_eq!(Record::Taken(b.taken), taken("b"));
     let past: Vec<_> = b.dispatches.iter().map(|d| (&*d.target, d.ended)).collect();
     assert_eq!(past, [("t0", Some(true)), ("t1", None)]);
-    assert_eq!(ledger.untold().map(|n| n.id.0.to_string()).collect::<Vec<_>>(), ["c"]);
+    assert_eq!(ledger.books().untold().map(|n| n.id.0.to_string()).collect::<Vec<_>>(), ["c"]);
     ledger.append(vec![Record::Told { id: "c".into() }]).unwrap();
     drop(ledger);
-    assert_eq!(folder.open().untold().count(), 0);
+    assert_eq!(folder.open().books().untold().count(), 0);
 }
 
 #[test]
@@ -102,7 +102,7 @@
     drop(ledger);
     let ledger = folder.open();
     assert_eq!(ids(&ledger), ["first"]);
-    assert_eq!(ledger.unended()[0].dispatches.len(), 1);
+    assert_eq!(ledger.books().unended()[0].dispatches.len(), 1);
 }
 
 #[test]
