--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -113,6 +113,8 @@
 /// An envelope that is owed its end.
 struct Owed {
     body: Bytes,
+    /// What it takes up.
+    size: u64,
     dispatches: u32,
 }
 
@@ -235,7 +237,7 @@
             body,
         };
         let pending: u64 = state.fresh.values().map(|(t, _)| Ledger::size_of(t)).sum();
-        let bodies = state.bodies + pending + taken.body.len() as u64;
+        let bodies = state.bodies + pending + Ledger::size_of(&taken);
         if pending + Ledger::size_of(&taken) > self.ledger.room() || bodies > self.most_bodies {
             if let Some(more) = state.seldom.now() {
                 tracing::warn!(
@@ -324,8 +326,9 @@
             let desk = &mut self.state.desk;
             self.forwarder.hand_in(now, id.clone(), category, tenant, key, outer_limit, destination, desk);
             self.forwarder.recall(now, &id, &past, desk);
-            self.state.bodies += taken.body.len() as u64;
-            self.state.owed.insert(id, Owed { body: taken.body, dispatches: past.len() as u32 });
+            let (size, dispatches) = (Ledger::size_of(&taken), past.len() as u32);
+            self.state.bodies += size;
+            self.state.owed.insert(id, Owed { body: taken.body, size, dispatches });
         }
         let (owed, untold) = (self.state.owed.len(), self.ledger.books().untold().count());
         if owed + untold > 0 {
@@ -369,8 +372,9 @@
         }
         let fresh = std::mem::take(&mut state.fresh);
         for (id, (taken, _)) in &fresh {
-            state.bodies += taken.body.len() as u64;
-            state.owed.insert(id.clone(), Owed { body: taken.body.clone(), dispatches: 0 });
+            let size = Ledger::size_of(taken);
+            state.bodies += size;
+            state.owed.insert(id.clone(), Owed { body: taken.body.clone(), size, dispatches: 0 });
         }
         let begun = state.number(going);
         let written = self.write(&fresh, &begun, now);
@@ -386,8 +390,9 @@
                 gone.insert(id);
             }
         }
-        let (begun, kept): (Vec<_>, Vec<_>) =
-            begun.into_iter().partition(|b| written && !gone.contains(&b.id));
+        let places = &self.state.places;
+        let goes = |b: &Departing| written && !gone.contains(&b.id) && places.contains_key(&b.target);
+        let (begun, kept): (Vec<_>, Vec<_>) = begun.into_iter().partition(goes);
         self.start(begun);
         for dispatch in called_off {
             if let Some(stop) = self.state.out.remove(&dispatch) {
@@ -497,7 +502,7 @@
     /// The envelope is over; says whether it was still owed its end.
     fn forget(&mut self, id: &EnvelopeId) -> bool {
         let owed = self.owed.remove(id);
-        self.bodies -= owed.as_ref().map_or(0, |o| o.body.len() as u64);
+        self.bodies -= owed.as_ref().map_or(0, |o| o.size);
         owed.is_some()
     }
 }
--- a/crates/protocol/src/hand_in.rs
+++ b/crates/protocol/src/hand_in.rs
@@ -49,7 +49,8 @@
             key: key.transpose().map_err(|_| "x-route-hash is malformed")?.map(KeyId),
             destination: DestinationId(destination.ok_or("x-route-to names no destination")?),
             time_left: span_in(named("x-budget")?).ok_or("x-budget is malformed")?,
-            body,
+            // A copy: the original is a part of the connection's buffer, and would keep all of that.
+            body: Bytes::copy_from_slice(&body),
         })
     }
 }
