--- a/src/control.rs
+++ b/src/control.rs
@@ -130,8 +130,7 @@
 /// Drops failures that are older than the window, then keeps the newest few.
 fn prune(failures: &mut Vec<Duration>, now: Duration, window: Duration) {
     failures.retain(|f| now.saturating_sub(*f) <= window);
-    let extra = failures.len().saturating_sub(FAILURES_KEPT);
-    failures.drain(..extra);
+    failures.drain(..failures.len().saturating_sub(FAILURES_KEPT));
 }
 
 /// Whether enough failures exist and the newest of them fit in one window.
@@ -324,7 +323,13 @@
         let Some(target) = self.targets.get_mut(&id) else { return };
         let (mut all_troubled, mut until) = (false, now);
         match outcome {
-            Outcome::CalledOff | Outcome::Unsent => return,
+            Outcome::CalledOff => return,
+            // Symptom: an envelope uses up its dispatches in an instant, as each comes back unsent: a slot or
+            // a connection that was given up still counts, or the ledger fails. It can harm by a short rest.
+            Outcome::Unsent => {
+                circuit.wait_until = circuit.wait_until.max(now + card.recovery_delay / 4);
+                return;
+            }
             Outcome::Completed => {
                 // Whatever the route's targets showed before, they have only now come back.
                 all_troubled = circuit.restrained_until.is_some() && troubled;
@@ -397,7 +402,7 @@
         if target.standing != Standing::Active || target.destination != envelope.destination {
             return false;
         }
-        let effect = self.card.categories[envelope.category].effect;
+        let effect = self.effect(envelope);
         if let (Some((first, at)), Effect::Receipted { window, group }) = (envelope.may_have_run, effect) {
             let same_zone = self.targets.get(&at).is_some_and(|t| t.zone == target.zone);
             if now >= first + window || (group == Group::Zone && id != at && !same_zone) {
@@ -549,11 +554,9 @@
             };
             let Some(envelope) = self.envelopes.get(&key.0) else { continue };
             // Calling off an effectful one loses it, so that it takes longer.
-            let effectful = self.card.categories[envelope.category].effect == Effect::Effectful;
-            let patience = if effectful { EFFECTFUL_PATIENCE } else { 1.0 };
+            let patience = if self.effect(envelope) == Effect::Effectful { EFFECTFUL_PATIENCE } else { 1.0 };
             let allowed = self.overdue_after(circuit).mul_f64(patience);
-            let age = now.saturating_sub(d.sent);
-            let ratio = age.as_secs_f64() / allowed.as_secs_f64();
+            let ratio = now.saturating_sub(d.sent).as_secs_f64() / allowed.as_secs_f64();
             if ratio < 1.0 {
                 sooner(wake, Some(d.sent + allowed));
             } else if worst.as_ref().is_none_or(|w| ratio > w.0) {
@@ -624,8 +627,7 @@
             let to = |t: &TargetId| self.may_go(&self.envelopes[id], *t, &self.targets[t], now);
             open.iter().filter(|(t, o)| o.1 == trial && to(t)).map(|(t, _)| *t).collect()
         };
-        let repeatable =
-            |id: &&EnvelopeId| self.card.categories[self.envelopes[*id].category].effect != Effect::Effectful;
+        let repeatable = |id: &&EnvelopeId| self.effect(&self.envelopes[*id]) != Effect::Effectful;
         // A trial may be lost, so that one goes with an envelope that may run again, if there is any.
         let for_trial = ranked.iter().filter(repeatable).filter(|id| !able(id, true).is_empty());
         let lead = (for_trial.min_by_key(|id| self.envelopes[*id].errors))
@@ -729,17 +731,16 @@
     /// Whether an envelope may not be dispatched again, whatever its destination does.
     fn spent(&self, id: &EnvelopeId, now: Duration) -> bool {
         let Some(envelope) = self.envelopes.get(id) else { return true };
-        let effect = self.card.categories[envelope.category].effect;
         envelope.dispatches >= self.card.dispatch_cap
             || now >= envelope.outer_limit
-            || (effect == Effect::Effectful && envelope.may_have_run.is_some())
+            || (self.effect(envelope) == Effect::Effectful && envelope.may_have_run.is_some())
     }
 
     /// The one final answer for an envelope that is given up on: shed where handing it in again is harmless.
     fn give_up(&mut self, id: &EnvelopeId, now: Duration, host: &mut dyn Host) {
         let Some(envelope) = self.envelopes.get(id) else { return };
         let unrun = envelope.may_have_run.is_none() && envelope.out.is_empty();
-        let harmless = match self.card.categories[envelope.category].effect {
+        let harmless = match self.effect(envelope) {
             Effect::Pure => true,
             Effect::Receipted { window, group } => {
                 let first = envelope.may_have_run.map(|m| m.0);
@@ -779,8 +780,7 @@
             for id in &self.destinations[destination].held {
                 let Some(e) = self.envelopes.get(id) else { continue };
                 let mut end = e.outer_limit;
-                if let (Some((first, _)), Effect::Receipted { window, .. }) =
-                    (e.may_have_run, self.card.categories[e.category].effect)
+                if let (Some((first, _)), Effect::Receipted { window, .. }) = (e.may_have_run, self.effect(e))
                 {
                     end = end.min(first + window);
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -414,6 +414,10 @@
         }
     }
 
+    pub(crate) fn effect(&self, envelope: &Envelope) -> Effect {
+        self.card.categories[envelope.category].effect
+    }
+
     /// Envelopes in one call to a target at most.
     pub(crate) fn batch(&self, target: &Target) -> usize {
         target.kind.and_then(|k| self.card.kinds.get(k)).map_or(1, |k| k.2)
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -444,3 +444,17 @@
     }
     assert_eq!(story.sent_after(ms(0)), ["note"], "the other is kept for the next start");
 }
+
+#[test]
+fn what_comes_back_unsent_does_not_use_up_its_dispatches_at_once() {
+    let mut story = Story::with(ONE);
+    story.hand_in("a", "order", 9);
+    let mut sent = 0;
+    for _ in 0..100 {
+        if !story.sent_after(ms(10)).is_empty() {
+            story.ends("a", sent, Outcome::Unsent);
+            sent += 1;
+        }
+    }
+    assert!((3..=5).contains(&sent), "{sent} in a second");
+}
