--- a/crates/forwarder/src/connections.rs
+++ b/crates/forwarder/src/connections.rs
@@ -100,6 +100,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     departure: Arc<Mutex<Departure>>,
+    /// Sent on it so far.
+    requests: u32,
     _driver: Driver,
 }
 
@@ -127,16 +129,23 @@
             let _ = connection.await;
             drop(seat);
         });
-        Ok(Connection { sender, departure, _driver: Driver(driver.abort_handle()) })
+        Ok(Connection { sender, departure, requests: 0, _driver: Driver(driver.abort_handle()) })
     }
 
     /// Sends one request, once. What goes wrong is told by whether its last byte had left.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Ending> {
         let length = request.body().size_hint().exact().unwrap_or(u64::MAX);
         locked(&self.departure).begin(usize::try_from(length).unwrap_or(usize::MAX));
-        self.sender.send_request(request).await.map_err(|_| match locked(&self.departure).complete() {
-            true => Ending::Broken,
-            false => Ending::CutShort,
+        let sent = self.sender.send_request(request).await;
+        self.requests += 1;
+        sent.map_err(|fault| {
+            let left = locked(&self.departure).complete();
+            tracing::debug!(%fault, left, earlier = self.requests - 1, "a request got no answer");
+            if left {
+                Ending::Broken
+            } else {
+                Ending::CutShort
+            }
         })
     }
 
