The owner's turn in parts: orders, what is taken on, the ledger, then out

What was handed in within one turn is written to the ledger in the order of its arrival and not of its ids, so that envelopes of a key keep their order over a restart too.

--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -141,8 +141,7 @@
     places: BTreeMap<TargetId, Place>,
     owed: BTreeMap<EnvelopeId, Owed>,
     bodies: u64,
-    /// Handed in since the last turn, and not yet answered.
-    fresh: BTreeMap<EnvelopeId, (Taken, oneshot::Sender<Answer>)>,
+    fresh: Vec<Fresh>,
     out: BTreeMap<(EnvelopeId, DispatchNo), oneshot::Sender<()>>,
     wakes: BTreeSet<Duration>,
     /// For the ledger, with the next turn.
@@ -222,7 +221,7 @@
         }
         let HandIn { id, category, tenant, key, destination, time_left, body } = hand_in;
         let state = &mut self.state;
-        if state.owed.contains_key(&id) || state.fresh.contains_key(&id) {
+        if state.owed.contains_key(&id) || state.fresh.iter().any(|f| f.id == id) {
             let _ = reply.send(Answer::TakenOn);
             return;
         }
@@ -236,7 +235,7 @@
             outer_limit: self.clock.stored(outer_limit),
             body,
         };
-        let pending: u64 = state.fresh.values().map(|(t, _)| Ledger::size_of(t)).sum();
+        let pending: u64 = state.fresh.iter().map(|f| Ledger::size_of(&f.taken)).sum();
         let bodies = state.bodies + pending + Ledger::size_of(&taken);
         if pending + Ledger::size_of(&taken) > self.ledger.room() || bodies > self.most_bodies {
             if let Some(more) = state.seldom.now() {
@@ -252,7 +251,7 @@
         let (category, tenant) = (taken.category.as_str(), taken.tenant.as_deref());
         let desk = &mut state.desk;
         self.forwarder.hand_in(now, id.clone(), category, tenant, key, outer_limit, destination, desk);
-        state.fresh.insert(id, (taken, reply));
+        state.fresh.push(Fresh { id, taken, reply });
     }
 
     fn ended(&mut self, id: EnvelopeId, no: DispatchNo, ending: Ending, now: Duration) {
@@ -275,7 +274,7 @@
     }
 
     /// The number of a target, which holds as long as this process.
-    fn number(&mut self, name: &str) -> TargetId {
+    fn target(&mut self, name: &str) -> TargetId {
         let next = TargetId(self.state.names.len() as u32);
         *self.state.names.entry(Arc::from(name)).or_insert(next)
     }
@@ -283,7 +282,7 @@
     pub fn list(&mut self, part: ListPart) {
         self.forwarder.list_begins(part.whole);
         for entry in part.entries {
-            let target = self.number(&entry.name);
+            let target = self.target(&entry.name);
             self.forwarder.listed(Listing {
                 target,
                 destination: entry.destination,
@@ -315,7 +314,7 @@
             let past: Vec<Past> = dispatches
                 .iter()
                 .map(|begun| Past {
-                    target: self.number(&begun.target),
+                    target: self.target(&begun.target),
                     sent: self.clock.read(begun.at),
                     never_ran: begun.ended == Some(true),
                 })
@@ -340,50 +339,21 @@
         }
     }
 
-    /// The module's turn, and all that it asks for.
+    /// The module's turn, and all that it asks for: first into the ledger, then out.
     fn turn(&mut self, now: Duration) {
         self.forwarder.turn(now, &mut self.state.desk);
         let state = &mut self.state;
         state.wakes.extend(state.desk.wakes.drain(..).map(|after| now + after));
-        let mut going: Vec<(EnvelopeId, TargetId, Duration)> = Vec::new();
-        let mut called_off = Vec::new();
-        let mut notices = Vec::new();
-        for asked in std::mem::take(&mut state.desk.asked) {
-            match asked {
-                Asked::Dispatch(id, target, time_out) => going.push((id, target, time_out)),
-                Asked::CallOff(id, no) => called_off.push((id, no)),
-                Asked::CloseIdle(target) => {
-                    if let Some(place) = state.places.get(&target) {
-                        self.courier.connections.close_idle(place.address);
-                    }
-                }
-                Asked::End(id, end) => {
-                    if let Some((_, reply)) = state.fresh.remove(&id) {
-                        let _ = reply.send(match end {
-                            GivenUp::Shed(come_back) => Answer::Shed(come_back),
-                            GivenUp::BrokenOff => Answer::BrokenOff,
-                        });
-                    } else if state.forget(&id) {
-                        state.records.push(Record::Ended { id: id.0.to_string(), notice: Some(end) });
-                        notices.push(Notice { id, end });
-                    }
-                }
-            }
-        }
-        let fresh = std::mem::take(&mut state.fresh);
-        for (id, (taken, _)) in &fresh {
-            let size = Ledger::size_of(taken);
-            state.bodies += size;
-            state.owed.insert(id.clone(), Owed { body: taken.body.clone(), size, dispatches: 0 });
-        }
-        let begun = state.number(going);
+        let orders = state.orders();
+        let fresh = state.take_on();
+        let begun = state.numbered(orders.going);
         let written = self.write(&fresh, &begun, now);
-        for notice in notices {
+        for notice in orders.notices {
             self.state.untold += 1;
             let _ = self.notices.send(notice);
         }
         let mut gone = BTreeSet::new();
-        for (id, (_, reply)) in fresh {
+        for Fresh { id, reply, .. } in fresh {
             let answer = if written { Answer::TakenOn } else { Answer::NoRoom };
             // A client that is no longer there has handed the envelope in anew.
             if reply.send(answer).is_err() || !written {
@@ -394,11 +364,14 @@
         let goes = |b: &Departing| written && !gone.contains(&b.id) && places.contains_key(&b.target);
         let (begun, kept): (Vec<_>, Vec<_>) = begun.into_iter().partition(goes);
         self.start(begun);
-        for dispatch in called_off {
+        for dispatch in orders.called_off {
             if let Some(stop) = self.state.out.remove(&dispatch) {
                 let _ = stop.send(());
             }
         }
+        for place in orders.close_idle.iter().filter_map(|target| self.state.places.get(target)) {
+            self.courier.connections.close_idle(place.address);
+        }
         // What these leave to do comes with the next turn.
         if !kept.is_empty() || !gone.is_empty() {
             self.state.wakes.insert(now + AFTER_A_FAULT);
@@ -415,15 +388,10 @@
 
     /// Puts all that this turn brought into the ledger. What cannot be written is not begun and not taken on;
     /// what has ended is written with the next turn.
-    fn write(
-        &mut self,
-        fresh: &BTreeMap<EnvelopeId, (Taken, oneshot::Sender<Answer>)>,
-        begun: &[Departing],
-        now: Duration,
-    ) -> bool {
+    fn write(&mut self, fresh: &[Fresh], begun: &[Departing], now: Duration) -> bool {
         let at = self.clock.stored(now);
         let state = &mut self.state;
-        let mut records: Vec<Record> = fresh.values().map(|(t, _)| Record::Taken(t.clone())).collect();
+        let mut records: Vec<Record> = fresh.iter().map(|f| Record::Taken(f.taken.clone())).collect();
         records.extend(state.records.iter().cloned());
         records.extend(begun.iter().map(|b| {
             let target = state.places.get(&b.target).map_or(String::new(), |p| p.name.to_string());
@@ -473,6 +441,22 @@
     }
 }
 
+/// Handed in since the last turn, and not yet answered.
+struct Fresh {
+    id: EnvelopeId,
+    taken: Taken,
+    reply: oneshot::Sender<Answer>,
+}
+
+/// What one turn of the module comes down to.
+#[derive(Default)]
+struct Orders {
+    going: Vec<(EnvelopeId, TargetId, Duration)>,
+    called_off: Vec<(EnvelopeId, DispatchNo)>,
+    close_idle: Vec<TargetId>,
+    notices: Vec<Notice>,
+}
+
 /// A dispatch that has its number and is about to go.
 struct Departing {
     id: EnvelopeId,
@@ -487,8 +471,44 @@
         &mut self.desk
     }
 
+    /// Sorts what the module asked for. What was handed in since the last turn and is over again is answered
+    /// here, as nothing of it was written down.
+    fn orders(&mut self) -> Orders {
+        let mut orders = Orders::default();
+        for asked in std::mem::take(&mut self.desk.asked) {
+            match asked {
+                Asked::Dispatch(id, target, time_out) => orders.going.push((id, target, time_out)),
+                Asked::CallOff(id, no) => orders.called_off.push((id, no)),
+                Asked::CloseIdle(target) => orders.close_idle.push(target),
+                Asked::End(id, end) => {
+                    if let Some(at) = self.fresh.iter().position(|f| f.id == id) {
+                        let _ = self.fresh.remove(at).reply.send(match end {
+                            GivenUp::Shed(come_back) => Answer::Shed(come_back),
+                            GivenUp::BrokenOff => Answer::BrokenOff,
+                        });
+                    } else if self.forget(&id) {
+                        self.records.push(Record::Ended { id: id.0.to_string(), notice: Some(end) });
+                        orders.notices.push(Notice { id, end });
+                    }
+                }
+            }
+        }
+        orders
+    }
+
+    /// What was handed in since the last turn is owed its end from here on.
+    fn take_on(&mut self) -> Vec<Fresh> {
+        let fresh = std::mem::take(&mut self.fresh);
+        for Fresh { id, taken, .. } in &fresh {
+            let size = Ledger::size_of(taken);
+            self.bodies += size;
+            self.owed.insert(id.clone(), Owed { body: taken.body.clone(), size, dispatches: 0 });
+        }
+        fresh
+    }
+
     /// Dispatches of an envelope are numbered in the order in which the module asked for them.
-    fn number(&mut self, going: Vec<(EnvelopeId, TargetId, Duration)>) -> Vec<Departing> {
+    fn numbered(&mut self, going: Vec<(EnvelopeId, TargetId, Duration)>) -> Vec<Departing> {
         let mut departing = Vec::new();
         for (id, target, time_out) in going {
             let Some(owed) = self.owed.get_mut(&id) else { continue };
