--- a/crates/daemon/src/duties.rs
+++ b/crates/daemon/src/duties.rs
@@ -48,6 +48,7 @@
         },
         known,
         terms: terms(seed.ok_or_else(|| missing("seed"))?, settings),
+        tick: reach.tick.unwrap_or_default(),
         connect_within: reach.connect_within.unwrap_or(CONNECT_WITHIN),
         closed_after: reach.idle.unwrap_or(CLOSED_AFTER),
         leave_within: LEAVE_WITHIN,
--- a/crates/forwarder/src/clock.rs
+++ b/crates/forwarder/src/clock.rs
@@ -32,6 +32,14 @@
         self.start + at.saturating_sub(BEFORE)
     }
 
+    /// The next moment of a grid this wide; at once where it has no width.
+    pub fn next(&self, width: Duration) -> Instant {
+        let passed = self.start.elapsed();
+        let over = passed.as_nanos().checked_rem(width.as_nanos()).unwrap_or_default();
+        let left = if over == 0 { Duration::ZERO } else { width - Duration::from_nanos(over as u64) };
+        self.start + passed + left
+    }
+
     /// Microseconds of Unix time.
     pub fn stored(&self, at: Duration) -> u64 {
         u64::try_from((self.wall + at).saturating_sub(BEFORE).as_micros()).unwrap_or(u64::MAX)
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -55,6 +55,8 @@
     /// The list of targets as it was last known.
     pub known: ListPart,
     pub terms: Terms,
+    /// What comes in is told to the module at most this often.
+    pub tick: Duration,
     /// A connection that is not up by then is none, and one that stands idle for so long is closed.
     pub connect_within: Duration,
     pub closed_after: Duration,
@@ -86,6 +88,7 @@
         clock,
         courier: Courier { connections: connections.clone() },
         batches,
+        tick: post.tick,
         most_bodies: limits.bodies,
         notices,
         events: events.clone(),
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -125,6 +125,8 @@
     pub courier: Courier,
     /// Envelopes in one call at most, by kind of destination.
     pub batches: BTreeMap<String, usize>,
+    /// Turns are at most this often.
+    pub tick: Duration,
     /// Bytes of envelopes that may be kept in memory.
     pub most_bodies: u64,
     pub notices: mpsc::UnboundedSender<Notice>,
@@ -163,6 +165,8 @@
                 event = queue.recv() => event,
                 _ = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => None,
             };
+            // What came together goes together: envelopes for one target in one call, outcomes before the turn.
+            sleep_until(self.clock.next(self.tick)).await;
             let now = self.clock.now();
             let mut more = first;
             let mut heard = 0;
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -251,6 +251,7 @@
             allowance: self.allowance,
             known: ListPart::decode(known.as_bytes()).unwrap(),
             terms,
+            tick: ms(5),
             connect_within: ms(1000),
             closed_after: self.closed_after,
             leave_within: ms(3000),
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -72,19 +72,26 @@
     }
 }
 
-/// How connections to targets behave, which is the network's affair alone.
+/// How the network is to behave, which is no affair of the module.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reach {
+    /// What has come in is told to the module at most this often, so that what came together is seen together.
+    pub tick: Option<Duration>,
     /// A connection not made by then is none.
     pub connect_within: Option<Duration>,
     /// Targets close a connection that has stood idle for so long.
     pub idle: Option<Duration>,
 }
 
+/// Clients wait for less than half a second.
+const LONGEST_TICK: Duration = Duration::from_millis(100);
+
 impl Reach {
     pub fn of(info: &Map<String, Value>) -> Reach {
         let limit = |name: &str| info.get("policyLimits").and_then(|l| l.get(name)).and_then(Value::as_u64);
+        let tick = info.get("tickUs").and_then(Value::as_u64).map(Duration::from_micros);
         Reach {
+            tick: tick.filter(|t| *t <= LONGEST_TICK),
             connect_within: limit("connectTimeoutUs").map(Duration::from_micros),
             idle: limit("connIdleUs").map(Duration::from_micros),
         }
