--- a/crates/daemon/src/duties.rs
+++ b/crates/daemon/src/duties.rs
@@ -33,8 +33,9 @@
     let seed = told.get("seed").and_then(Value::as_str).and_then(|s| u64::from_str_radix(s, 16).ok());
     let settings = told.get("settings").and_then(Value::as_object).ok_or_else(|| missing("settings"))?;
     let limit = |what: &str| {
-        let limits = told.get("limits").and_then(|l| l.get(what)).and_then(Value::as_u64);
-        limits.ok_or_else(|| missing(&format!("limits.{what}")))
+        // Parts of a megabyte are told with decimals.
+        let limit = told.get("limits").and_then(|l| l.get(what)).and_then(Value::as_f64);
+        limit.filter(|l| l.is_finite() && *l >= 0.0).ok_or_else(|| missing(&format!("limits.{what}")))
     };
     let reach = Reach::of(settings);
     Ok(Post {
@@ -42,9 +43,9 @@
         discovery: address("discovery")?,
         state,
         allowance: Allowance {
-            memory_bytes: limit("memory_mb")?.saturating_mul(1_000_000),
-            descriptors: limit("sockets")?.min(1 << 20) as usize,
-            disk_bytes: limit("disk_mb")?.saturating_mul(1_000_000),
+            memory_bytes: (limit("memory_mb")? * 1e6) as u64,
+            descriptors: limit("sockets")?.min(1e6) as usize,
+            disk_bytes: (limit("disk_mb")? * 1e6).min(1e15) as u64,
         },
         known,
         terms: terms(seed.ok_or_else(|| missing("seed"))?, settings),
