--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -65,15 +65,20 @@
     pub clients_come_for: Duration,
 }
 
-/// Serves until `stop` and whatever can still be ended after it.
+/// Listens, and serves until `stop` and whatever can still be ended after it.
 pub async fn serve(post: Post, stop: impl Future<Output = ()>) -> io::Result<()> {
+    let listener = TcpListener::bind(post.listen)
+        .await
+        .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", post.listen)))?;
+    serve_on(listener, post, stop).await
+}
+
+/// Serves on a socket that listens already, whatever the post says of one.
+pub async fn serve_on(listener: TcpListener, post: Post, stop: impl Future<Output = ()>) -> io::Result<()> {
     let limits = Limits::derive(post.allowance);
     let clock = Clock::start();
     let ledger = Ledger::open(&post.state, post.allowance.disk_bytes)
         .map_err(|e| io::Error::new(e.kind(), format!("ledger in {}: {e}", post.state.display())))?;
-    let listener = TcpListener::bind(post.listen)
-        .await
-        .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {}: {e}", post.listen)))?;
     let (events, queue) = mpsc::channel(limits.queue);
     let (notices, untold) = mpsc::unbounded_channel();
     let connections = Connections::new(limits.calls, post.connect_within, post.closed_after);
@@ -106,8 +111,9 @@
         }
     });
     let door = Arc::new(Door::default());
+    let listen = listener.local_addr()?;
     let accepting = tokio::spawn(intake::accept(listener, limits, door.clone(), events.clone()));
-    tracing::info!(listen = %post.listen, "serving");
+    tracing::info!(listen = %listen, "serving");
     let leave = async {
         stop.await;
         tracing::info!("asked to stop");
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -11,7 +11,8 @@
 
 use reeddock::{CategoryTerms, Effect, Group, Terms};
 use reeddock_forwarder::limits::Allowance;
-use reeddock_forwarder::{serve, Post};
+use reeddock_forwarder::{serve_on, Post};
+use reeddock_ledger::look;
 use reeddock_protocol::ListPart;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -170,6 +171,7 @@
     target: StandIn,
     allowance: Allowance,
     closed_after: Duration,
+    tick: Duration,
 }
 
 impl Drop for World {
@@ -200,7 +202,7 @@
         });
         let allowance = Allowance { memory_bytes: 192_000_000, descriptors: 1024, disk_bytes: 3_000_000 };
         let (platform, target) = (platform.await, StandIn::start(script).await);
-        World { folder, platform, target, allowance, closed_after: ms(5000) }
+        World { folder, platform, target, allowance, closed_after: ms(5000), tick: ms(5) }
     }
 
     /// What the list says from now on.
@@ -212,6 +214,15 @@
         self.platform.got().into_iter().filter(|m| m.line.contains("/v2/finals")).map(|m| m.body).collect()
     }
 
+    /// Until its ledger says that nothing is owed, and no notice either.
+    async fn settled(&self) {
+        let nothing = || {
+            let (books, _) = look(&self.folder).unwrap();
+            (books.unended().is_empty() && books.untold().next().is_none()).then_some(())
+        };
+        until("nothing is owed", nothing).await;
+    }
+
     /// A forwarder that knows the target as destination 3.
     async fn forwarder(&self) -> Life {
         self.forwarder_knowing(list(1, true, &[listed("t", self.target.address, 3, "Ready")])).await
@@ -243,7 +254,7 @@
         };
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        drop(listener);
+        listener.set_nonblocking(true).unwrap();
         let post = Post {
             listen: address,
             discovery: self.platform.address,
@@ -251,7 +262,7 @@
             allowance: self.allowance,
             known: ListPart::decode(known.as_bytes()).unwrap(),
             terms,
-            tick: ms(5),
+            tick: self.tick,
             connect_within: ms(1000),
             closed_after: self.closed_after,
             leave_within: ms(3000),
@@ -262,19 +273,14 @@
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             let asked = async move { drop(stopped.await) };
             runtime.block_on(async {
+                let listener = TcpListener::from_std(listener).unwrap();
                 tokio::select! {
-                    served = serve(post, asked) => served.unwrap(),
+                    served = serve_on(listener, post, asked) => served.unwrap(),
                     _ = killed => {}
                 }
             });
         });
-        let life = Life { address, kill: Some(kill), stop: Some(stop), thread: Some(thread) };
-        let start = Instant::now();
-        while TcpStream::connect(address).await.is_err() {
-            assert!(start.elapsed() < ms(10_000), "the forwarder never listens");
-            sleep(ms(5)).await;
-        }
-        life
+        Life { address, kill: Some(kill), stop: Some(stop), thread: Some(thread) }
     }
 }
 
@@ -316,10 +322,12 @@
         assert_eq!((call.line.as_str(), call.id()), ("POST /events HTTP/1.1", "a1"));
         assert_eq!(call.body, "body of it");
         assert!(call.headers["x-budget"].parse::<f64>().unwrap() > 0.0);
+        world.settled().await;
         assert_eq!(hand_in(&life, "a2", "order").await, 202);
         until("the second call", || (world.target.got().len() == 2).then_some(())).await;
         let connections: Vec<_> = world.target.got().iter().map(|m| m.connection).collect();
         assert_eq!(connections, [0, 0], "the second finds the connection of the first");
+        world.settled().await;
         life.kill();
         let mut life = world.forwarder().await;
         assert_eq!(hand_in(&life, "a3", "order").await, 202);
@@ -357,6 +365,47 @@
     });
 }
 
+#[test]
+fn a_client_that_goes_before_its_answer_leaves_nothing_behind() {
+    story(async {
+        let mut world = World::new(|_| Reply::Say(OK.into())).await;
+        world.tick = ms(1500);
+        let mut life = world.forwarder().await;
+        // Answered on the tick, so that what comes next has to wait for another.
+        assert_eq!(hand_in(&life, "first", "order").await, 202);
+        let mut stream = TcpStream::connect(life.address).await.unwrap();
+        stream.write_all(envelope("goes", "order", 9.0, "").as_bytes()).await.unwrap();
+        sleep(ms(50)).await;
+        drop(stream);
+        assert_eq!(hand_in(&life, "stays", "order").await, 202);
+        let got = |id: &str| world.target.got().iter().any(|m| m.id() == id).then_some(());
+        until("the one that stays", || got("stays")).await;
+        life.kill();
+        let mut life = world.forwarder().await;
+        assert_eq!(hand_in(&life, "after", "order").await, 202);
+        until("what came after", || got("after")).await;
+        life.kill();
+        let seen = |m: &Message| m.id() == "goes" || m.body.contains("goes");
+        assert!(!world.target.got().iter().any(seen));
+    });
+}
+
+#[test]
+fn the_largest_bodies_go_each_in_a_call_of_its_own() {
+    story(async {
+        let world = World::new(|_| Reply::Say(OK.into())).await;
+        let mut life = world.forwarder_knowing(list(1, true, &[])).await;
+        let body = "x".repeat(64 * 1024);
+        for id in ["a", "b"] {
+            assert_eq!(status(&ask(life.address, envelope(id, "note", 9.0, &body)).await), 202);
+        }
+        world.tell(list(2, true, &[listed("t", world.target.address, 3, "Ready")]));
+        until("both", || (world.target.got().len() == 2).then_some(())).await;
+        assert!(world.target.got().iter().all(|m| m.line.starts_with("POST /events ") && m.body == body));
+        life.kill();
+    });
+}
+
 #[test]
 fn a_call_that_broke_after_its_last_byte_may_have_run() {
     story(async {
@@ -451,7 +500,7 @@
         });
         let mut life = world.forwarder().await;
         until("one more", || (world.notices().matches("\"a\"").count() >= 4).then_some(())).await;
-        sleep(ms(300)).await;
+        world.settled().await;
         let told = world.notices().matches("\"a\"").count();
         life.kill();
         let mut life = world.forwarder().await;
