SIGHUP moves watch and notices; idle and silent clients are closed in time; ids guarded

Ruled out: slots, holding room, memory (4 MB) and CPU (0.04 s in the busiest second), as refusals reached their first answer in no time. At fault: main.rs (no handler), intake.rs (no limit on head or idle time, 5 s for a body, chunked bodies read), owner.rs (an id of an envelope that is not yet written was answered as taken on, one just over was taken on anew; any destination was held).

--- a/crates/daemon/src/duties.rs
+++ b/crates/daemon/src/duties.rs
@@ -9,6 +9,7 @@
 use reeddock_protocol::ListPart;
 use reeddock_terms::{terms, Reach};
 use serde_json::Value;
+use tokio::sync::watch;
 
 /// A planned stop is followed by a kill 3.7 s later at the soonest, and new clients come for 0.4 s.
 const LEAVE_WITHIN: Duration = Duration::from_millis(3500);
@@ -17,10 +18,26 @@
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 const CLOSED_AFTER: Duration = Duration::from_secs(5);
 
-pub fn read(file: &Path, state: PathBuf) -> Result<Post, String> {
+/// What a running forwarder takes from its file when that is read again, and what only a start does.
+#[derive(PartialEq)]
+pub struct Standing {
+    pub discovery: SocketAddr,
+    fixed: [(&'static str, Value); 3],
+}
+
+impl Standing {
+    /// The parts that differ from those that this process started with.
+    pub fn needs_restart(&self, started: &Standing) -> Vec<&'static str> {
+        let both = self.fixed.iter().zip(&started.fixed);
+        both.filter(|(now, then)| now != then).map(|(now, _)| now.0).collect()
+    }
+}
+
+pub fn read(file: &Path, state: PathBuf) -> Result<(Post, watch::Sender<SocketAddr>, Standing), String> {
     let name = file.display();
     let text = std::fs::read_to_string(file).map_err(|e| format!("cannot read {name}: {e}"))?;
     let mut told: Value = serde_json::from_str(&text).map_err(|e| format!("{name} is not JSON: {e}"))?;
+    let fixed = ["listen", "limits", "settings"].map(|part| (part, told[part].clone()));
     let known = told.get_mut("known").map(Value::take);
     let known = match known.filter(|k| !k.is_null()) {
         Some(list) => ListPart::decode_value(list).map_err(|e| format!("{name}: known: {e}"))?,
@@ -38,9 +55,11 @@
         limit.filter(|l| l.is_finite() && *l >= 0.0).ok_or_else(|| missing(&format!("limits.{what}")))
     };
     let reach = Reach::of(settings);
-    Ok(Post {
+    let at = address("discovery")?;
+    let (moves, discovery) = watch::channel(at);
+    let post = Post {
         listen: address("listen")?,
-        discovery: address("discovery")?,
+        discovery,
         state,
         allowance: Allowance {
             memory_bytes: (limit("memory_mb")? * 1e6) as u64,
@@ -54,5 +73,6 @@
         closed_after: reach.idle.unwrap_or(CLOSED_AFTER),
         leave_within: LEAVE_WITHIN,
         clients_come_for: CLIENTS_COME_FOR,
-    })
+    };
+    Ok((post, moves, Standing { discovery: at, fixed }))
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -4,9 +4,11 @@
 
 use std::collections::BTreeMap;
 use std::ffi::OsString;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use tokio::signal::unix::{signal, SignalKind};
 use tracing::level_filters::LevelFilter;
 
 const HELP: &str = "\
@@ -18,7 +20,7 @@
        reeddock version
        reeddock help
 
-serve     run one forwarder until SIGTERM
+serve     run one forwarder until SIGTERM; SIGHUP has it read FILE again
 check     read a configuration and say what it comes down to
 ledger    say what the forwarder of a folder still owes; changes nothing
 version   print the version
@@ -95,26 +97,43 @@
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .init();
-    let post = duties::read(order.config()?.as_ref(), order.state()?.into())?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     runtime.block_on(async {
-        let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
-            .map_err(|e| format!("cannot wait for SIGTERM: {e}"))?;
+        // Before anything else: a signal that nobody waits for ends the process.
+        let told = |kind| signal(kind).map_err(|e| format!("cannot wait for signals: {e}"));
+        let (mut term, mut hangup) = (told(SignalKind::terminate())?, told(SignalKind::hangup())?);
+        let (file, state) = (PathBuf::from(order.config()?), PathBuf::from(order.state()?));
+        let (post, moves, started) = duties::read(&file, state)?;
+        let rereading = async {
+            while hangup.recv().await.is_some() {
+                match duties::read(&file, PathBuf::new()) {
+                    Ok((.., now)) => {
+                        let needs_restart = now.needs_restart(&started);
+                        tracing::info!(discovery = %now.discovery, ?needs_restart, "read the configuration again");
+                        moves.send_replace(now.discovery);
+                    }
+                    Err(fault) => tracing::warn!(%fault, "the old configuration stands"),
+                }
+            }
+        };
         let stop = async move {
             tokio::select! {
                 _ = term.recv() => {}
                 _ = tokio::signal::ctrl_c() => {}
             }
         };
-        reeddock_forwarder::serve(post, stop).await.map_err(|e| e.to_string())
+        tokio::select! {
+            served = reeddock_forwarder::serve(post, stop) => served.map_err(|e| e.to_string()),
+            () = rereading => Err("signals are not told any more".into()),
+        }
     })
 }
 
 fn check(order: Order) -> Result<(), String> {
-    let post = duties::read(order.config()?.as_ref(), Default::default())?;
+    let (post, _, started) = duties::read(order.config()?.as_ref(), Default::default())?;
     let limits = reeddock_forwarder::limits::Limits::derive(post.allowance);
-    println!("listens on {}, discovery and notices at {}", post.listen, post.discovery);
+    println!("listens on {}, discovery and notices at {}", post.listen, started.discovery);
     println!("{} targets known, generation {}", post.known.entries.len(), post.known.generation);
     for category in &post.terms.categories {
         let (name, effect) = (&category.name, category.effect);
--- a/crates/forwarder/src/discovery.rs
+++ b/crates/forwarder/src/discovery.rs
@@ -5,7 +5,7 @@
 
 use http_body_util::BodyExt;
 use reeddock_protocol::{watch, ListPart};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch as told};
 use tokio::time::{sleep, timeout};
 
 use crate::connections::Connection;
@@ -21,14 +21,28 @@
 /// The whole list of a large fleet fits well inside this.
 const LONGEST_LINE: usize = 16 * 1024 * 1024;
 
-/// Watches for ever. `known` is the generation of the list that the owner has.
-pub async fn follow(discovery: SocketAddr, mut known: u64, owner: mpsc::Sender<Event>) {
+/// Where discovery is from now on; never, once nobody can tell that any more.
+pub(crate) async fn moved(at: &mut told::Receiver<SocketAddr>) {
+    if at.changed().await.is_err() {
+        std::future::pending().await
+    }
+}
+
+/// Watches for ever. `known` is the generation of the list that the owner has, wherever it is watched.
+pub async fn follow(mut at: told::Receiver<SocketAddr>, mut known: u64, owner: mpsc::Sender<Event>) {
     let mut again = AGAIN_FIRST;
     let mut seldom = Seldom::default();
     loop {
         let before = known;
         let mut heard = false;
-        let fault = listen(discovery, &mut known, &mut heard, &owner).await;
+        let discovery = *at.borrow_and_update();
+        let fault = tokio::select! {
+            fault = listen(discovery, &mut known, &mut heard, &owner) => fault,
+            () = moved(&mut at) => {
+                again = AGAIN_FIRST;
+                continue;
+            }
+        };
         if heard || known != before {
             again = AGAIN_FIRST;
         }
@@ -39,8 +53,12 @@
             return;
         }
         // Forwarders that lost it together do not all come back together.
-        sleep(again.mul_f64(0.5 + f64::from(std::process::id() % 64) / 64.0)).await;
+        let rest = again.mul_f64(0.5 + f64::from(std::process::id() % 64) / 64.0);
         again = (again * 2).min(AGAIN_MOST);
+        tokio::select! {
+            () = sleep(rest) => {}
+            () = moved(&mut at) => again = AGAIN_FIRST,
+        }
     }
 }
 
@@ -90,10 +108,12 @@
                     Ok(part) => part,
                     Err(fault) => return format!("a line that can't be read: {fault}"),
                 };
-                *known = part.generation;
+                let generation = part.generation;
                 if owner.send(Event::List(part)).await.is_err() {
                     return "the forwarder stops".into();
                 }
+                // Only now: a watch that is left for another address before this asks for it again.
+                *known = generation;
             }
             line.clear();
         }
--- a/crates/forwarder/src/intake.rs
+++ b/crates/forwarder/src/intake.rs
@@ -1,15 +1,17 @@
 //! Where clients hand envelopes in.
 
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::TRANSFER_ENCODING;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
@@ -18,8 +20,8 @@
 use hyper_util::service::TowerToHyperService;
 use reeddock_protocol::{Answer, HandIn, MOST_BODY};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::{sleep, timeout, Instant};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tower::Service;
 
 use crate::connections::out_of_descriptors;
@@ -27,8 +29,16 @@
 use crate::owner::Event;
 use crate::seldom::Seldom;
 
-/// A body that has not come by then is not waited for.
-const BODY_WITHIN: Duration = Duration::from_secs(5);
+/// A first request whose head has not come by then, and a body that has not come so long after its head, are
+/// not waited for: together less than three seconds, and far more than a client waits for its answer.
+const HEAD_WITHIN: Duration = Duration::from_millis(1500);
+const BODY_WITHIN: Duration = Duration::from_secs(1);
+/// A connection on which a request was answered is closed once none has followed for so long.
+const IDLE_WITHIN: Duration = Duration::from_millis(2100);
+/// A client that has just come sends its request right away: until then its connection is not spared.
+const JUST_COME: Duration = Duration::from_millis(100);
+/// A connection that is to be closed while its next request begins has so long for that.
+const LAST_REQUEST: Duration = Duration::from_millis(100);
 /// Before the next try where the machine has no room for a connection.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -36,10 +46,58 @@
 #[derive(Default)]
 pub struct Door {
     leaving: AtomicBool,
-    open: AtomicUsize,
+    guests: Mutex<BTreeMap<u64, Arc<Guest>>>,
     closing: watch::Sender<bool>,
 }
 
+/// One client's connection.
+struct Guest {
+    seen: Mutex<Seen>,
+    /// Its place is wanted for another.
+    out: Notify,
+}
+
+/// What a connection has shown of its client.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Seen {
+    /// No whole head yet, since it was accepted.
+    Nothing(Instant),
+    /// Answered, and no whole head since.
+    Answered(Instant),
+    /// A request is open.
+    Asking,
+}
+
+impl Seen {
+    /// When to close it, if nothing more is seen.
+    fn closes(self) -> Option<Instant> {
+        match self {
+            Seen::Nothing(since) => Some(since + HEAD_WITHIN),
+            Seen::Answered(since) => Some(since + IDLE_WITHIN),
+            Seen::Asking => None,
+        }
+    }
+
+    /// What can best be spared comes first: clients that have long said nothing, then idle ones.
+    fn spared(self) -> Option<(bool, Instant)> {
+        match self {
+            Seen::Nothing(since) => Some((false, since)).filter(|_| since.elapsed() >= JUST_COME),
+            Seen::Answered(since) => Some((true, since)),
+            Seen::Asking => None,
+        }
+    }
+}
+
+impl Guest {
+    fn seen(&self) -> Seen {
+        *self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self, seen: Seen) {
+        *self.seen.lock().unwrap_or_else(PoisonError::into_inner) = seen;
+    }
+}
+
 impl Door {
     /// From here on clients are asked to go elsewhere.
     pub fn leave(&self) {
@@ -53,7 +111,21 @@
 
     /// Whether every client has gone.
     pub fn empty(&self) -> bool {
-        self.open.load(Ordering::Relaxed) == 0
+        self.guests().is_empty()
+    }
+
+    fn guests(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Guest>>> {
+        self.guests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Closes the connection that can best be spared: of those that have never asked for anything the oldest,
+    /// so that silent clients do not crowd out others, else the one that has stood idle for longest, whose
+    /// client uses another for its next request. Says whether there was one.
+    fn spare_one(&self) -> bool {
+        let mut guests = self.guests();
+        let spared = guests.iter().filter_map(|(n, g)| Some((g.seen().spared()?, *n))).min();
+        let guest = spared.and_then(|(_, number)| guests.remove(&number));
+        guest.inspect(|g| g.out.notify_one()).is_some()
     }
 
     fn leaving(&self) -> bool {
@@ -65,6 +137,7 @@
 #[derive(Clone)]
 pub struct Intake {
     door: Arc<Door>,
+    guest: Arc<Guest>,
     owner: mpsc::Sender<Event>,
     /// This connection is one too many: it is told so and closed.
     too_many: bool,
@@ -81,9 +154,11 @@
 
     fn call(&mut self, request: Request<Incoming>) -> Self::Future {
         let intake = self.clone();
+        intake.guest.now(Seen::Asking);
         Box::pin(async move {
             let answer = intake.answer(request).await;
-            let unread = matches!(answer, Answer::TooLarge | Answer::TooSlow);
+            intake.guest.now(Seen::Answered(Instant::now()));
+            let unread = matches!(answer, Answer::TooLarge | Answer::TooSlow | Answer::NoLength);
             Ok(answer.encode(intake.too_many || unread || intake.door.leaving()))
         })
     }
@@ -101,6 +176,10 @@
 
     async fn hand_in(&self, request: Request<Incoming>) -> Answer {
         let (parts, body) = request.into_parts();
+        // A body whose end two sides may see in different places can hide a request in it.
+        if parts.headers.contains_key(TRANSFER_ENCODING) {
+            return Answer::NoLength;
+        }
         if body.size_hint().lower() > MOST_BODY as u64 {
             return Answer::TooLarge;
         }
@@ -129,10 +208,9 @@
 /// Accepts and serves clients until it is dropped; connections that are open then are served on.
 pub async fn accept(listener: TcpListener, limits: Limits, door: Arc<Door>, owner: mpsc::Sender<Event>) {
     let mut seldom = Seldom::default();
-    loop {
-        if door.open.load(Ordering::Relaxed) >= limits.accepted {
+    for number in 0.. {
+        while door.guests().len() >= limits.accepted && !door.spare_one() {
             sleep(ACCEPT_AGAIN).await;
-            continue;
         }
         let (stream, from) = match listener.accept().await {
             Ok(accepted) => accepted,
@@ -147,27 +225,57 @@
             }
         };
         let _ = stream.set_nodelay(true);
-        let open = door.open.fetch_add(1, Ordering::Relaxed);
-        let too_many = open >= limits.clients;
-        let intake = Intake { door: door.clone(), owner: owner.clone(), too_many };
-        tokio::spawn(serve(TokioIo::new(stream), from, intake));
+        let too_many = door.guests().len() >= limits.clients && !door.spare_one();
+        let guest = Arc::new(Guest { seen: Mutex::new(Seen::Nothing(Instant::now())), out: Notify::new() });
+        door.guests().insert(number, guest.clone());
+        let intake = Intake { door: door.clone(), guest, owner: owner.clone(), too_many };
+        let door = door.clone();
+        tokio::spawn(async move {
+            serve(TokioIo::new(stream), from, intake).await;
+            door.guests().remove(&number);
+        });
     }
 }
 
 async fn serve(stream: TokioIo<TcpStream>, from: SocketAddr, intake: Intake) {
-    let door = intake.door.clone();
-    let mut closing = door.closing.subscribe();
+    let guest = intake.guest.clone();
+    let mut closing = intake.door.closing.subscribe();
+    let told = async {
+        tokio::select! {
+            _ = closing.wait_for(|closing| *closing) => true,
+            () = guest.out.notified() => false,
+            () = idle(&guest) => false,
+        }
+    };
     let service = TowerToHyperService::new(intake);
     let mut serving = pin!(http1::Builder::new().max_buf_size(16 * 1024).serve_connection(stream, service));
     let served = tokio::select! {
+        biased;
         served = serving.as_mut() => served,
-        () = async { drop(closing.wait_for(|closing| *closing).await) } => {
+        all = told => {
             serving.as_mut().graceful_shutdown();
-            serving.await
+            loop {
+                let nothing = !all && matches!(guest.seen(), Seen::Nothing(_));
+                let patience = if nothing { Duration::ZERO } else { LAST_REQUEST };
+                let ended = timeout(patience, serving.as_mut()).await;
+                if ended.is_ok() || !all && guest.seen() != Seen::Asking {
+                    return;
+                }
+            }
         }
     };
     if let Err(e) = served {
         tracing::debug!(%from, %e, "a client's connection ended");
     }
-    door.open.fetch_sub(1, Ordering::Relaxed);
+}
+
+/// Until no request has been open on the connection for as long as one may stand idle.
+async fn idle(guest: &Guest) {
+    loop {
+        match guest.seen().closes() {
+            Some(at) if at <= Instant::now() => return,
+            Some(at) => sleep_until(at).await,
+            None => sleep(LAST_REQUEST).await,
+        }
+    }
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -35,7 +35,7 @@
 use reeddock_ledger::Ledger;
 use reeddock_protocol::ListPart;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{interval, sleep, Instant};
 
 use calls::Courier;
@@ -48,7 +48,8 @@
 /// What one forwarder is told at its start.
 pub struct Post {
     pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// Where discovery and the platform are, now and whenever that changes.
+    pub discovery: watch::Receiver<SocketAddr>,
     /// The folder that outlasts the process.
     pub state: PathBuf,
     pub allowance: Allowance,
@@ -101,7 +102,7 @@
     };
     owner.list(post.known);
     owner.take_up();
-    tokio::spawn(notices::tell(post.discovery, untold, events.clone()));
+    tokio::spawn(notices::tell(post.discovery.clone(), untold, events.clone()));
     tokio::spawn(discovery::follow(post.discovery, generation, events.clone()));
     tokio::spawn(async move {
         let mut tick = interval(Duration::from_millis(500));
--- a/crates/forwarder/src/limits.rs
+++ b/crates/forwarder/src/limits.rs
@@ -27,7 +27,8 @@
     pub fn derive(allowance: Allowance) -> Limits {
         // Files, the listener, the runtime, discovery and notices.
         let free = allowance.descriptors.saturating_sub(32).max(8);
-        let accepted = free / 2;
+        // Clients that ask once and stay, or never ask, take more places than calls do.
+        let accepted = free * 3 / 5;
         Limits {
             clients: accepted - accepted / 8,
             accepted,
--- a/crates/forwarder/src/notices.rs
+++ b/crates/forwarder/src/notices.rs
@@ -6,10 +6,11 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use reeddock_protocol::{notices, Notice};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::connections::Connection;
+use crate::discovery::moved;
 use crate::owner::Event;
 use crate::seldom::Seldom;
 
@@ -21,9 +22,9 @@
 const AGAIN_FIRST: Duration = Duration::from_millis(20);
 const AGAIN_MOST: Duration = Duration::from_secs(1);
 
-/// Sends what comes in, in its order.
+/// Sends what comes in, in its order, to wherever the platform is then.
 pub async fn tell(
-    discovery: SocketAddr,
+    mut at: watch::Receiver<SocketAddr>,
     mut ended: mpsc::UnboundedReceiver<Notice>,
     owner: mpsc::Sender<Event>,
 ) {
@@ -33,7 +34,17 @@
     while ended.recv_many(&mut batch, TOGETHER).await > 0 {
         let mut again = AGAIN_FIRST;
         loop {
-            let sent = timeout(ANSWER_WITHIN, send(discovery, &mut connection, &batch)).await;
+            if at.has_changed().unwrap_or(false) {
+                connection = None;
+            }
+            let discovery = *at.borrow_and_update();
+            let sent = tokio::select! {
+                sent = timeout(ANSWER_WITHIN, send(discovery, &mut connection, &batch)) => sent,
+                () = moved(&mut at) => {
+                    at.mark_changed();
+                    continue;
+                }
+            };
             let fault = match sent {
                 Ok(Ok(StatusCode::BAD_REQUEST)) => {
                     // It would never be read, and those behind it must not wait.
@@ -49,8 +60,10 @@
                 tracing::warn!(%fault, more, count = batch.len(), "notices are sent again");
             }
             connection = None;
-            sleep(again).await;
-            again = (again * 2).min(AGAIN_MOST);
+            tokio::select! {
+                () = sleep(again) => again = (again * 2).min(AGAIN_MOST),
+                () = moved(&mut at) => again = AGAIN_FIRST,
+            }
         }
         let told = batch.drain(..).map(|n| n.id).collect();
         if owner.send(Event::Told(told)).await.is_err() {
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -1,7 +1,7 @@
 //! The one task that owns the decision module and the ledger. Sockets reach it through a bounded queue only;
 //! what the module asks for goes out from here, and only after the ledger has it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +23,9 @@
 const EVENTS_A_TURN: usize = 256;
 /// What could not be begun is asked for again no sooner, so that a full disk does not make a busy loop.
 const AFTER_A_FAULT: Duration = Duration::from_millis(20);
+/// An id is not taken again for so long after its envelope is over: the copy that a client or a stranger sends
+/// of an open request may come a moment after its end, and would have its effect twice.
+const IDS_KEPT: Duration = Duration::from_secs(15);
 
 /// What the sockets tell the owner.
 pub enum Event {
@@ -142,6 +145,10 @@
     names: BTreeMap<Arc<str>, TargetId>,
     places: BTreeMap<TargetId, Place>,
     owed: BTreeMap<EnvelopeId, Owed>,
+    /// Ids of envelopes that were over by then, and the same in that order.
+    now: Duration,
+    over: BTreeSet<EnvelopeId>,
+    over_by: VecDeque<(Duration, EnvelopeId)>,
     bodies: u64,
     fresh: Vec<Fresh>,
     out: BTreeMap<(EnvelopeId, DispatchNo), oneshot::Sender<()>>,
@@ -225,8 +232,18 @@
         }
         let HandIn { id, category, tenant, key, destination, time_left, body } = hand_in;
         let state = &mut self.state;
-        if state.owed.contains_key(&id) || state.fresh.iter().any(|f| f.id == id) {
-            let _ = reply.send(Answer::TakenOn);
+        let turned_away = if state.owed.contains_key(&id) {
+            // Whoever sent it: this envelope is in the ledger.
+            Some(Answer::TakenOn)
+        } else if state.over.contains(&id) || state.fresh.iter().any(|f| f.id == id) {
+            Some(Answer::IdTaken)
+        } else if !self.forwarder.knows(destination) {
+            Some(Answer::NoDestination)
+        } else {
+            None
+        };
+        if let Some(answer) = turned_away {
+            let _ = reply.send(answer);
             return;
         }
         let outer_limit = self.clock.at(at) + time_left;
@@ -345,6 +362,11 @@
 
     /// The module's turn, and all that it asks for: first into the ledger, then out.
     fn turn(&mut self, now: Duration) {
+        self.state.now = now;
+        while self.state.over_by.front().is_some_and(|(until, _)| *until <= now) {
+            let past = self.state.over_by.pop_front();
+            past.map(|(_, id)| self.state.over.remove(&id));
+        }
         self.forwarder.turn(now, &mut self.state.desk);
         let state = &mut self.state;
         state.wakes.extend(state.desk.wakes.drain(..).map(|after| now + after));
@@ -526,6 +548,9 @@
     /// The envelope is over; says whether it was still owed its end.
     fn forget(&mut self, id: &EnvelopeId) -> bool {
         let owed = self.owed.remove(id);
+        if owed.is_some() && self.over.insert(id.clone()) {
+            self.over_by.push_back((self.now + IDS_KEPT, id.clone()));
+        }
         self.bodies -= owed.as_ref().map_or(0, |o| o.size);
         owed.is_some()
     }
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -16,7 +16,7 @@
 use reeddock_protocol::ListPart;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep, timeout};
 
 const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
@@ -26,6 +26,13 @@
     Duration::from_millis(n)
 }
 
+fn as_platform(message: &Message) -> Reply {
+    match message.line.starts_with("GET /v1/servers?stream=1&index=") {
+        true => Reply::Stream,
+        false => Reply::Say(NO_CONTENT.into()),
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Message {
     line: String,
@@ -168,6 +175,7 @@
 struct World {
     folder: PathBuf,
     platform: StandIn,
+    moves: watch::Sender<SocketAddr>,
     target: StandIn,
     allowance: Allowance,
     closed_after: Duration,
@@ -196,13 +204,11 @@
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("reeddock-story-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
-        let platform = StandIn::start(|m| match m.line.starts_with("GET /v1/servers?stream=1&index=") {
-            true => Reply::Stream,
-            false => Reply::Say(NO_CONTENT.into()),
-        });
+        let platform = StandIn::start(as_platform);
         let allowance = Allowance { memory_bytes: 192_000_000, descriptors: 1024, disk_bytes: 3_000_000 };
         let (platform, target) = (platform.await, StandIn::start(script).await);
-        World { folder, platform, target, allowance, closed_after: ms(5000), tick: ms(5) }
+        let moves = watch::Sender::new(platform.address);
+        World { folder, platform, moves, target, allowance, closed_after: ms(5000), tick: ms(5) }
     }
 
     /// What the list says from now on.
@@ -211,7 +217,11 @@
     }
 
     fn notices(&self) -> String {
-        self.platform.got().into_iter().filter(|m| m.line.contains("/v2/finals")).map(|m| m.body).collect()
+        Self::notices_at(&self.platform)
+    }
+
+    fn notices_at(platform: &StandIn) -> String {
+        platform.got().into_iter().filter(|m| m.line.contains("/v2/finals")).map(|m| m.body).collect()
     }
 
     /// Until its ledger says that nothing is owed, and no notice either.
@@ -257,7 +267,7 @@
         listener.set_nonblocking(true).unwrap();
         let post = Post {
             listen: address,
-            discovery: self.platform.address,
+            discovery: self.moves.subscribe(),
             state: self.folder.clone(),
             allowance: self.allowance,
             known: ListPart::decode(known.as_bytes()).unwrap(),
@@ -406,6 +416,88 @@
     });
 }
 
+#[test]
+fn watch_and_notices_move_to_another_address_and_nothing_untold_is_lost() {
+    story(async {
+        let world = World::new(|_| Reply::Close).await;
+        let before = listed("t", world.target.address, 3, "Ready");
+        // The old one takes no notice any more, and says nothing on the watch.
+        world.platform.now(|m| if m.line.contains("finals") { Reply::Silence } else { Reply::Stream });
+        let mut life = world.forwarder_knowing(list(5, true, &[before])).await;
+        assert_eq!(hand_in(&life, "a", "order").await, 202);
+        until("a notice", || world.notices().contains("\"a\"").then_some(())).await;
+        let new = StandIn::start(as_platform).await;
+        world.moves.send_replace(new.address);
+        let watch = |m: &Message| m.line.contains("index=5");
+        until("a watch that knows the list", || new.got().iter().any(watch).then_some(())).await;
+        until("the notice", || World::notices_at(&new).contains("\"a\"").then_some(())).await;
+        let good = StandIn::start(|_| Reply::Say(OK.into())).await;
+        new.lines.lock().unwrap().push(list(6, false, &[listed("t", good.address, 3, "Ready")]));
+        assert_eq!(hand_in(&life, "b", "note").await, 202);
+        until("a call to the new target", || good.got().pop()).await;
+        world.settled().await;
+        life.kill();
+    });
+}
+
+#[test]
+fn silent_clients_are_closed_in_time_and_crowd_nobody_out() {
+    story(async {
+        let mut world = World::new(|_| Reply::Say(OK.into())).await;
+        world.allowance.descriptors = 64;
+        let mut life = world.forwarder().await;
+        let mut stayed = Vec::new();
+        for n in 0..40 {
+            // Some ask once and stay, others say nothing or begin and stop.
+            let mut stream = TcpStream::connect(life.address).await.unwrap();
+            let said = match n % 4 {
+                0 => envelope(&format!("e{n}"), "note", 9.0, ""),
+                1 => "POST /api HTTP/1.1\r\nX-Ca".into(),
+                2 => envelope("half", "note", 9.0, "all of it").replace("all of it", "al"),
+                _ => String::new(),
+            };
+            stream.write_all(said.as_bytes()).await.unwrap();
+            if n % 4 == 0 {
+                assert_eq!(status(&read_message(&mut stream).await.unwrap()), 202, "{n}");
+            }
+            stayed.push((Instant::now(), stream));
+            sleep(ms(30)).await;
+        }
+        for (since, mut stream) in stayed {
+            let mut rest = Vec::new();
+            let _ = timeout(ms(5000), stream.read_to_end(&mut rest)).await.expect("closed");
+            assert!(since.elapsed() < ms(4500), "{:?}", since.elapsed());
+        }
+        life.kill();
+    });
+}
+
+#[test]
+fn an_id_that_is_or_was_open_and_a_destination_unheard_of_are_not_taken_on() {
+    story(async {
+        let world = World::new(|_| Reply::Say(OK.into())).await;
+        let mut life = world.forwarder().await;
+        assert_eq!(hand_in(&life, "a", "order").await, 202);
+        world.settled().await;
+        assert_eq!(hand_in(&life, "a", "order").await, 409);
+        let nowhere = envelope("b", "order", 9.0, "").replace("dest=3", "dest=4");
+        assert_eq!(status(&ask(life.address, nowhere).await), 503);
+        // Two ends of one body: what stands behind the first may be a request of its own.
+        let inner = envelope("hidden", "order", 9.0, "");
+        let both = envelope("c", "order", 9.0, &format!("0\r\n\r\n{inner}"));
+        let both = both.replace("X-Budget", "Transfer-Encoding: chunked\r\nX-Budget");
+        let mut stream = TcpStream::connect(life.address).await.unwrap();
+        stream.write_all(both.as_bytes()).await.unwrap();
+        assert_eq!(status(&read_message(&mut stream).await.unwrap()), 411);
+        assert!(read_message(&mut stream).await.is_none(), "and closed");
+        assert_eq!(hand_in(&life, "last", "order").await, 202);
+        until("the last", || world.target.got().iter().any(|m| m.id() == "last").then_some(())).await;
+        let ids: Vec<_> = world.target.got().iter().map(|m| m.id().to_owned()).collect();
+        assert_eq!(ids, ["a", "last"]);
+        life.kill();
+    });
+}
+
 #[test]
 fn a_call_that_broke_after_its_last_byte_may_have_run() {
     story(async {
@@ -642,14 +734,12 @@
         few.allowance.descriptors = 64;
         let mut life = few.forwarder().await;
         let mut held = Vec::new();
-        for _ in 0..15 {
+        for _ in 0..25 {
             held.push(TcpStream::connect(life.address).await.unwrap());
         }
-        assert_eq!(hand_in(&life, "one-too-many", "note").await, 503);
-        held.clear();
         let start = Instant::now();
         while hand_in(&life, "fits", "note").await != 202 {
-            assert!(start.elapsed() < ms(10_000));
+            assert!(start.elapsed() < ms(1000), "held by clients that say nothing");
         }
         life.kill();
     });
--- a/crates/protocol/src/hand_in.rs
+++ b/crates/protocol/src/hand_in.rs
@@ -69,6 +69,12 @@
     Malformed(Fault),
     TooLarge,
     TooSlow,
+    /// A body with no plain length.
+    NoLength,
+    /// Its id is that of another envelope, of now or of a moment ago.
+    IdTaken,
+    /// The list knows no such destination, or not yet; nothing was taken on.
+    NoDestination,
     NotFound,
     Healthy,
     /// Asked for its health while it stops.
@@ -82,10 +88,12 @@
             Answer::TakenOn => StatusCode::ACCEPTED,
             Answer::Shed(_) => StatusCode::TOO_MANY_REQUESTS,
             Answer::BrokenOff => StatusCode::UNPROCESSABLE_ENTITY,
-            Answer::NoRoom | Answer::Leaving => StatusCode::SERVICE_UNAVAILABLE,
+            Answer::NoRoom | Answer::NoDestination | Answer::Leaving => StatusCode::SERVICE_UNAVAILABLE,
             Answer::Malformed(_) => StatusCode::BAD_REQUEST,
             Answer::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Answer::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Answer::NoLength => StatusCode::LENGTH_REQUIRED,
+            Answer::IdTaken => StatusCode::CONFLICT,
             Answer::NotFound => StatusCode::NOT_FOUND,
             Answer::Healthy => StatusCode::OK,
         };
--- a/src/state.rs
+++ b/src/state.rs
@@ -379,6 +379,11 @@
         target.kind.and_then(|k| self.card.kinds.get(k)).is_some_and(|k| k.1)
     }
 
+    /// Whether the list has named a destination. While it has named none it cannot be told by.
+    pub fn knows(&self, destination: DestinationId) -> bool {
+        self.targets.is_empty() || self.destinations.contains_key(&destination)
+    }
+
     /// The targets that the list has for a destination now.
     pub(crate) fn active(&self, destination: DestinationId) -> impl Iterator<Item = (TargetId, &Target)> {
         let targets = self.destinations.get(&destination).into_iter().flat_map(|d| &d.targets);
