A spoilt answer has an ending of its own; a first line with 200 completes a call alone

Checked by reading hyper: an unreadable head is a parse error, which calls.rs told as a broken connection, whatever its first line said, so that effectful envelopes that were delivered were broken off and others sent again; an answer of 3 GB was read for two seconds; a bundle answer cut short was believed line by line; bytes behind an answer that the system had and hyper had not were the next call's answer (Noted now asks the system before a request's first byte, and a call of which nothing was written takes another connection). An answer other than 200 is read whole before it proves that nothing ran.

--- a/crates/forwarder/src/calls.rs
+++ b/crates/forwarder/src/calls.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use reeddock::{DispatchNo, EnvelopeId, TargetId};
 use reeddock_protocol::{self as protocol, Ending, Letter};
@@ -46,6 +46,8 @@
 /// The rest of an answer is read for so long, before the end is told and after; then its connection goes.
 const REST_SHORTLY: Duration = Duration::from_millis(20);
 const REST_AT_MOST: Duration = Duration::from_secs(2);
+/// No answer that means anything is longer; some never end.
+const LONGEST_ANSWER: usize = 2 * protocol::MOST_BODY;
 
 impl Service<Call> for Courier {
     type Response = Carried;
@@ -72,30 +74,50 @@
         letters => protocol::bundle(call.to, letters, call.wait),
     };
     let request = request.map_err(|_| Ending::NotBegun)?;
-    let mut connection = connections.take(call.to).await?;
-    let (head, body) = connection.send(request).await?.into_parts();
-    if call.letters.len() > 1 {
-        // What is said of each stands in the body.
-        let whole = http_body_util::Limited::new(body, 4 * protocol::MOST_BODY).collect().await;
-        let whole = whole.map_err(|_| Ending::Broken)?.to_bytes();
-        let endings = protocol::endings_of_bundle(&head, &whole, &call.letters);
-        if connection.ready().await {
-            connections.put(call.to, connection);
+    let alone = call.letters.len() == 1;
+    let completed = || Carried { endings: vec![Ending::Completed], wait: None };
+    let (mut connection, answer) = loop {
+        let mut connection = connections.take(call.to).await?;
+        let said_ok = connection.says_ok();
+        let answer = tokio::select! {
+            biased;
+            answer = connection.send(request.clone()) => answer,
+            // The rest of the head may have no end, or can't be read.
+            () = async { said_ok.await; sleep(REST_SHORTLY).await }, if alone => return Ok(completed()),
+        };
+        if answer.is_ok() || !connection.was_over() {
+            break (connection, answer);
+        }
+    };
+    let (head, body) = match answer {
+        Ok(answer) => answer.into_parts(),
+        Err(_) if alone && connection.said_ok() => return Ok(completed()),
+        Err(ending) => return Err(ending),
+    };
+    if alone && protocol::ending_of(&head) == Ending::Completed {
+        // The head says all. The next call to this target, which may follow at once, finds the connection free
+        // if the rest comes shortly.
+        let mut rest = Box::pin(finish(connections, call.to, connection, body));
+        if timeout(REST_SHORTLY, &mut rest).await.is_err() {
+            tokio::spawn(timeout(REST_AT_MOST, rest));
         }
-        return Ok(Carried { endings, wait: protocol::wait_of(&head) });
+        return Ok(completed());
+    }
+    // What is said of each stands in the body; and only a whole answer proves that nothing has run.
+    let whole = Limited::new(body, LONGEST_ANSWER).collect().await.map_err(|_| Ending::Spoilt)?.to_bytes();
+    let clean = connection.ready().await;
+    if clean {
+        connections.put(call.to, connection);
     }
-    // The head says all. The next call to this target, which may follow at once, finds the connection free if
-    // the rest comes shortly.
-    let mut rest = Box::pin(finish(connections, call.to, connection, body));
-    if timeout(REST_SHORTLY, &mut rest).await.is_err() {
-        tokio::spawn(timeout(REST_AT_MOST, rest));
+    if alone {
+        return Ok(Carried { endings: vec![protocol::ending_of(&head)], wait: None });
     }
-    Ok(Carried { endings: vec![protocol::ending_of(&head)], wait: None })
+    let endings = protocol::endings_of_bundle(&head, &whole, clean, &call.letters);
+    Ok(Carried { endings, wait: protocol::wait_of(&head) })
 }
 
-async fn finish(connections: Connections, to: SocketAddr, mut connection: Connection, mut body: Incoming) {
-    while let Some(Ok(_)) = body.frame().await {}
-    if connection.ready().await {
+async fn finish(connections: Connections, to: SocketAddr, mut connection: Connection, body: Incoming) {
+    if Limited::new(body, LONGEST_ANSWER).collect().await.is_ok() && connection.ready().await {
         connections.put(to, connection);
     }
 }
--- a/crates/forwarder/src/connections.rs
+++ b/crates/forwarder/src/connections.rs
@@ -1,11 +1,13 @@
 //! Connections to other machines: opened, kept while idle, and watched for how much of a request has left.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,11 +15,12 @@
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use reeddock_protocol::Ending;
+use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, Instant};
 
@@ -25,10 +28,14 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// No head that belongs here comes near this; one that has no end stops here.
+const LONGEST_HEAD: usize = 32 * 1024;
+
 /// How much of a request has been handed to the system, read from the bytes themselves: what a library still
 /// holds back has not left, and a call that has not left whole cannot have run.
 #[derive(Default)]
 struct Departure {
+    begun: bool,
     /// Bytes of the blank line after the head seen so far.
     blank: usize,
     head_gone: bool,
@@ -42,6 +49,7 @@
 
     fn gone(&mut self, mut bytes: &[u8]) {
         const BLANK: &[u8] = b"\r\n\r\n";
+        self.begun |= !bytes.is_empty();
         while let (false, Some((byte, rest))) = (self.head_gone, bytes.split_first()) {
             self.blank =
                 if *byte == BLANK[self.blank] { self.blank + 1 } else { usize::from(*byte == b'\r') };
@@ -56,24 +64,100 @@
     }
 }
 
-/// A stream that notes what has left on it.
+/// The first line of an answer, read from the bytes themselves: a library that can't read what follows it
+/// hides it, and it may have said that the call was completed. Lines of 1xx answers in front don't count.
+#[derive(Default)]
+struct Arrival {
+    line: Vec<u8>,
+    /// In the rest of a 1xx answer's head.
+    aside: bool,
+    whole: bool,
+}
+
+impl Arrival {
+    /// Longer first lines are noise.
+    const LONGEST: usize = 256;
+
+    fn come(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            if self.whole || self.line.len() > Arrival::LONGEST {
+                return;
+            }
+            self.line.push(*byte);
+            if *byte != b'\n' {
+                continue;
+            }
+            let line = self.line.trim_ascii_end();
+            if self.aside {
+                self.aside = !line.is_empty();
+                self.line.clear();
+            } else if line.len() >= 12 && line.starts_with(b"HTTP/1.") && line[8..].starts_with(b" 1") {
+                self.aside = true;
+                self.line.clear();
+            } else {
+                self.whole = true;
+            }
+        }
+    }
+
+    fn says_ok(&self) -> bool {
+        let status = self.line.strip_prefix(b"HTTP/1.1 200").or(self.line.strip_prefix(b"HTTP/1.0 200"));
+        self.whole && status.is_some_and(|rest| rest[0].is_ascii_whitespace())
+    }
+}
+
+/// What one request and its answer have come to on their connection.
+#[derive(Default)]
+struct Passage {
+    departure: Mutex<Departure>,
+    arrival: Mutex<Arrival>,
+    /// A first line has come whole.
+    told: Notify,
+}
+
+/// A stream that notes what passes on it.
 struct Noted {
     stream: TokioIo<TcpStream>,
-    departure: Arc<Mutex<Departure>>,
+    passage: Arc<Passage>,
+}
+
+impl Noted {
+    /// Whether nothing waits to be read: what has come before a request is no answer to it, and would be taken
+    /// for one. Asked of the system, which may know of bytes before this program does.
+    fn silent(&self) -> bool {
+        let waiting = SockRef::from(self.stream.inner()).peek(&mut [MaybeUninit::uninit()]);
+        waiting.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
 }
 
 impl Read for Noted {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_read(cx, buf)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut buf: ReadBufCursor) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let mut bytes = [MaybeUninit::uninit(); 4096];
+        let room = buf.remaining().min(bytes.len());
+        let mut read = ReadBuf::uninit(&mut bytes[..room]);
+        ready!(Pin::new(&mut this.stream).poll_read(cx, read.unfilled()))?;
+        buf.put_slice(read.filled());
+        let mut arrival = locked(&this.passage.arrival);
+        if !arrival.whole {
+            arrival.come(read.filled());
+            if arrival.whole {
+                this.passage.told.notify_one();
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
 impl Write for Noted {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
+        if !locked(&this.passage.departure).begun && !this.silent() {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
         let written = Pin::new(&mut this.stream).poll_write(cx, bytes);
         if let Poll::Ready(Ok(n)) = written {
-            locked(&this.departure).gone(&bytes[..n]);
+            locked(&this.passage.departure).gone(&bytes[..n]);
         }
         written
     }
@@ -99,7 +183,7 @@
 /// One open connection. Dropping it closes it, whatever is under way on it.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    departure: Arc<Mutex<Departure>>,
+    passage: Arc<Passage>,
     /// Sent on it so far.
     requests: u32,
     _driver: Driver,
@@ -121,34 +205,57 @@
         };
         // A small request must not wait for the answer to the one before.
         let _ = stream.set_nodelay(true);
-        let departure = Arc::<Mutex<Departure>>::default();
-        let noted = Noted { stream: TokioIo::new(stream), departure: departure.clone() };
-        let (sender, connection) = http1::handshake(noted).await.map_err(|_| Ending::CutShort)?;
+        let passage = Arc::<Passage>::default();
+        let noted = Noted { stream: TokioIo::new(stream), passage: passage.clone() };
+        let handshake = http1::Builder::new().max_buf_size(LONGEST_HEAD).handshake(noted).await;
+        let (sender, connection) = handshake.map_err(|_| Ending::CutShort)?;
         let driver = tokio::spawn(async move {
             // How it ended reaches whoever has a request on it.
             let _ = connection.await;
             drop(seat);
         });
-        Ok(Connection { sender, departure, requests: 0, _driver: Driver(driver.abort_handle()) })
+        Ok(Connection { sender, passage, requests: 0, _driver: Driver(driver.abort_handle()) })
     }
 
     /// Sends one request, once. What goes wrong is told by whether its last byte had left.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Ending> {
         let length = request.body().size_hint().exact().unwrap_or(u64::MAX);
-        locked(&self.departure).begin(usize::try_from(length).unwrap_or(usize::MAX));
+        locked(&self.passage.departure).begin(usize::try_from(length).unwrap_or(usize::MAX));
+        *locked(&self.passage.arrival) = Arrival::default();
         let sent = self.sender.send_request(request).await;
         self.requests += 1;
         sent.map_err(|fault| {
-            let left = locked(&self.departure).complete();
+            let left = locked(&self.passage.departure).complete();
             tracing::debug!(%fault, left, earlier = self.requests - 1, "a request got no answer");
-            if left {
-                Ending::Broken
-            } else {
-                Ending::CutShort
+            match (left, fault.is_parse()) {
+                (false, _) => Ending::CutShort,
+                (true, false) => Ending::Broken,
+                (true, true) => Ending::Spoilt,
             }
         })
     }
 
+    /// Whether nothing of the last request was written, on a connection that had served before: it had ended
+    /// between two requests, and that says nothing of the other side.
+    pub fn was_over(&self) -> bool {
+        self.requests > 1 && !locked(&self.passage.departure).begun
+    }
+
+    /// Whether the first line of the answer says that the call was completed.
+    pub fn said_ok(&self) -> bool {
+        locked(&self.passage.arrival).says_ok()
+    }
+
+    /// Comes once the first line of the answer says that the call was completed, whatever follows it.
+    pub fn says_ok(&self) -> impl Future<Output = ()> {
+        let passage = self.passage.clone();
+        async move {
+            while !locked(&passage.arrival).says_ok() {
+                passage.told.notified().await;
+            }
+        }
+    }
+
     /// Whether another request may follow; waits until the last answer has been read.
     pub async fn ready(&mut self) -> bool {
         self.sender.ready().await.is_ok()
@@ -232,7 +339,28 @@
 
 #[cfg(test)]
 mod tests {
-    use super::Departure;
+    use super::{Arrival, Departure};
+
+    #[test]
+    fn the_first_line_is_kept_whatever_follows_and_however_it_comes() {
+        for (answer, ok) in [
+            ("HTTP/1.1 200 OK\r\n\0\x01", true),
+            ("HTTP/1.1 200\r\n", true),
+            ("HTTP/1.1 100 Continue\r\na: b\r\n\r\nHTTP/1.1 102 x\r\n\r\nHTTP/1.0 200 OK\r\nx", true),
+            ("HTTP/1.1 103 Early\r\nl: HTTP/1.1 200 OK\r\n", false),
+            ("HTTP/1.1 200 OK", false),
+            ("HTTP/1.1 2000 OK\r\n", false),
+            ("HTTP/1.1 503 no\r\nHTTP/1.1 200 OK\r\n", false),
+            ("noise\r\nHTTP/1.1 200 OK\r\n", false),
+        ] {
+            for split in 0..answer.len() {
+                let mut arrival = Arrival::default();
+                arrival.come(&answer.as_bytes()[..split]);
+                arrival.come(&answer.as_bytes()[split..]);
+                assert_eq!(arrival.says_ok(), ok, "{answer:?} {split}");
+            }
+        }
+    }
 
     #[test]
     fn a_call_has_left_with_the_last_byte_of_its_body_and_not_before() {
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -157,6 +157,7 @@
     records: Vec<Record>,
     untold: usize,
     seldom: Seldom,
+    unreadable: Seldom,
 }
 
 impl Owner {
@@ -290,6 +291,11 @@
         if outcome != Outcome::Completed {
             tracing::debug!(id = &*id.0, no = no.0, ?ending, "a dispatch ended");
         }
+        if ending == Ending::NotReadable {
+            if let Some(more) = state.unreadable.now() {
+                tracing::warn!(id = &*id.0, more, "a target can't read a call with this envelope");
+            }
+        }
         let over = !held || ending.ends_envelope();
         self.forwarder.settled(now, &id, no, outcome, over, &mut state.desk);
     }
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -498,6 +498,69 @@
     });
 }
 
+#[test]
+fn a_spoilt_answer_has_run_and_one_whose_first_line_says_so_is_good() {
+    story(async {
+        let noisy = AtomicUsize::new(0);
+        let world = World::new(move |m| {
+            Reply::Say(match m.id() {
+                "unread" => "HTTP/1.1 200 OK\r\ncontent-length: -7\r\n\r\n".into(),
+                "no-end" => format!("HTTP/1.1 200 OK\r\nx-pad: {}", "x".repeat(5000)),
+                "huge" => {
+                    format!("HTTP/1.1 200 OK\r\ncontent-length: 3000000000\r\n\r\n{}", "x".repeat(500_000))
+                }
+                "behind-1xx" => {
+                    format!("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\na: b\r\n\r\n{OK}")
+                }
+                "noise-once" if noisy.fetch_add(1, Ordering::Relaxed) > 0 => OK.into(),
+                "short" => "HTTP/1.1 429 No\r\ncontent-length: x\r\n\r\n".into(),
+                _ => "\0\x01 noise\r\n\r\n".into(),
+            })
+        })
+        .await;
+        let mut life = world.forwarder().await;
+        for (n, id) in ["unread", "no-end", "huge", "behind-1xx"].into_iter().enumerate() {
+            assert_eq!(hand_in(&life, id, "order").await, 202);
+            world.settled().await;
+            assert_eq!((world.notices(), world.target.got().len()), (String::new(), n + 1), "{id}");
+        }
+        until("all but the good connection are closed", || {
+            (world.target.closed.load(Ordering::Relaxed) == 3).then_some(())
+        })
+        .await;
+        assert_eq!(hand_in(&life, "noise-once", "note").await, 202);
+        world.settled().await;
+        for id in ["noise", "short"] {
+            assert_eq!(hand_in(&life, id, "order").await, 202);
+            let notice = format!(r#"{{"id":"{id}","status":"undeliverable"}}"#);
+            until("a notice", || world.notices().contains(&notice).then_some(())).await;
+        }
+        let ids: Vec<_> = world.target.got().iter().skip(4).map(|m| m.id().to_owned()).collect();
+        assert_eq!(ids, ["noise-once", "noise-once", "noise", "short"]);
+        life.kill();
+    });
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_not_taken_for_the_next() {
+    story(async {
+        let world = World::new(|m| match m.id() {
+            "a" => Reply::Say(OK.repeat(2)),
+            _ => Reply::Silence,
+        })
+        .await;
+        let mut life = world.forwarder().await;
+        assert_eq!(hand_in(&life, "a", "order").await, 202);
+        world.settled().await;
+        assert_eq!(hand_in(&life, "b", "order").await, 202);
+        let b = until("the next call", || world.target.got().get(1).cloned()).await;
+        assert_eq!(b.connection, 1, "on a connection of its own");
+        let notice = r#"{"id":"b","status":"undeliverable"}"#;
+        until("its end", || world.notices().contains(notice).then_some(())).await;
+        life.kill();
+    });
+}
+
 #[test]
 fn a_call_that_broke_after_its_last_byte_may_have_run() {
     story(async {
@@ -697,7 +760,8 @@
 #[test]
 fn asked_to_stop_it_says_so_serves_on_and_ends_what_it_can() {
     story(async {
-        let world = World::new(|_| Reply::Say(OK.into())).await;
+        let both = "HTTP/1.1 200 OK\r\ncontent-length: 30\r\n\r\nheld accepted\r\nlate accepted\r\n";
+        let world = World::new(|_| Reply::Say(both.into())).await;
         let mut life = world.forwarder_knowing(list(1, true, &[])).await;
         assert_eq!(hand_in(&life, "held", "note").await, 202);
         life.stop.take();
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -85,8 +85,14 @@
     }
 }
 
-/// What a whole answer says of each envelope of a bundle, in their order.
-pub fn endings_of_bundle(answer: &response::Parts, body: &[u8], letters: &[Letter]) -> Vec<Ending> {
+/// What a whole answer says of each envelope of a bundle, in their order; `clean` says that nothing came behind
+/// it. One that leaves an envelope out, or may have lost its end, is believed in nothing.
+pub fn endings_of_bundle(
+    answer: &response::Parts,
+    body: &[u8],
+    clean: bool,
+    letters: &[Letter],
+) -> Vec<Ending> {
     let for_all = ending_of(answer);
     if for_all != Ending::Completed {
         return vec![for_all; letters.len()];
@@ -97,13 +103,14 @@
         lines.find_map(|mut words| (words.next() == Some(id)).then(|| words.next()).flatten())
     };
     let ending = |letter: &Letter| match told(&letter.id.0) {
-        Some("accepted") => Ending::Completed,
-        Some("fault") => Ending::Failed,
-        Some("deferred") => Ending::TurnedAway(wait_of(answer)),
-        Some("expired") => Ending::Over,
-        Some("no_more") => Ending::NoMoreDispatches,
-        // An answer that says nothing of it: it may have run.
-        _ => Ending::Broken,
+        Some("accepted") => Some(Ending::Completed),
+        Some("fault") => Some(Ending::Failed),
+        Some("deferred") => Some(Ending::TurnedAway(wait_of(answer))),
+        Some("expired") => Some(Ending::Over),
+        Some("no_more") => Some(Ending::NoMoreDispatches),
+        _ => None,
     };
-    letters.iter().map(ending).collect()
+    let endings: Option<Vec<Ending>> = letters.iter().map(ending).collect();
+    let whole = endings.filter(|_| clean || body.ends_with(b"\n"));
+    whole.unwrap_or_else(|| vec![Ending::Spoilt; letters.len()])
 }
--- a/crates/protocol/src/ending.rs
+++ b/crates/protocol/src/ending.rs
@@ -28,8 +28,10 @@
     NeverUp,
     /// The connection broke before the call's last byte was written.
     CutShort,
-    /// The connection broke, or what came back was no answer, after the last byte was written.
+    /// The connection broke after the last byte was written.
     Broken,
+    /// What came back after that was no answer, or not a whole one.
+    Spoilt,
     /// No answer in time.
     TimedOut,
     /// Given up by this forwarder.
@@ -43,7 +45,7 @@
     pub fn outcome(self) -> Outcome {
         match self {
             Ending::Completed => Outcome::Completed,
-            Ending::Failed | Ending::Unheard => Outcome::Error,
+            Ending::Failed | Ending::Unheard | Ending::Spoilt => Outcome::Error,
             Ending::TurnedAway(wait) => Outcome::Full(wait),
             // These two say nothing of room at the target, so that they are no `Full`.
             Ending::NoMoreDispatches | Ending::Over => Outcome::Unsent,
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -31,12 +31,17 @@
 }
 
 #[test]
-fn an_envelope_that_a_bundle_answer_does_not_name_may_have_run() {
+fn a_bundle_answer_that_leaves_one_out_or_may_be_cut_proves_nothing() {
     let letters = ["a", "ab", "c"].map(|id| Letter { id: EnvelopeId(id.into()), body: Default::default() });
-    let told = endings_of_bundle(&head(200, None), b"ab accepted\r\nc no_more\r\n", &letters);
-    assert_eq!(told, [Ending::Broken, Ending::Completed, Ending::NoMoreDispatches]);
-    let told = endings_of_bundle(&head(500, None), b"ab accepted\r\n", &letters);
-    assert_eq!(told, [Ending::Failed; 3]);
+    let told = |status, body, clean| endings_of_bundle(&head(status, None), body, clean, &letters);
+    let whole = b"a deferred\r\nab accepted\r\nc no_more\r\n";
+    let each = [Ending::TurnedAway(None), Ending::Completed, Ending::NoMoreDispatches];
+    assert_eq!(told(200, whole, false), each);
+    assert_eq!(told(200, &whole[..whole.len() - 2], true), each);
+    assert_eq!(told(200, &whole[..whole.len() - 2], false), [Ending::Spoilt; 3]);
+    assert_eq!(told(200, &whole[12..], true), [Ending::Spoilt; 3]);
+    assert_eq!(told(500, b"ab accepted\r\n", true), [Ending::Failed; 3]);
+    assert!(!Ending::Spoilt.outcome().never_ran());
 }
 
 #[test]
