Slots go by how long a line has waited against its calls out; unreadable requests end at once

Ruled out: restraint, spacing and asked waits (each call followed the end of the one before), memory, descriptors. At fault: the order of turns in control.rs, fewest calls out first. It can harm where a slow destination's line is long: it gets more slots than before. Also 48 calls answered 400: cut bodies of clients that tell a wrong length, sent 12 times over, each time resting the route of the usual ones for a quarter of the recovery delay. More bytes than the length tells are a 400 now, and what a target cannot read alone is broken off. Folded in control.rs: prune, tripped, begun.

--- a/crates/forwarder/src/connections.rs
+++ b/crates/forwarder/src/connections.rs
@@ -24,7 +24,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, Instant};
 
-fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -131,24 +131,35 @@
 }
 
 impl Read for Noted {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, mut buf: ReadBufCursor) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        let mut bytes = [MaybeUninit::uninit(); 4096];
-        let room = buf.remaining().min(bytes.len());
-        let mut read = ReadBuf::uninit(&mut bytes[..room]);
-        ready!(Pin::new(&mut this.stream).poll_read(cx, read.unfilled()))?;
-        buf.put_slice(read.filled());
-        let mut arrival = locked(&this.passage.arrival);
-        if !arrival.whole {
-            arrival.come(read.filled());
-            if arrival.whole {
+        read_through(&mut this.stream, cx, buf, |bytes| {
+            let mut arrival = locked(&this.passage.arrival);
+            let before = arrival.whole;
+            arrival.come(bytes);
+            if arrival.whole != before {
                 this.passage.told.notify_one();
             }
-        }
-        Poll::Ready(Ok(()))
+        })
     }
 }
 
+/// Reads, and shows what has come.
+pub(crate) fn read_through(
+    stream: &mut TokioIo<TcpStream>,
+    cx: &mut Context,
+    mut buf: ReadBufCursor,
+    show: impl FnOnce(&[u8]),
+) -> Poll<io::Result<()>> {
+    let mut bytes = [MaybeUninit::uninit(); 4096];
+    let room = buf.remaining().min(bytes.len());
+    let mut read = ReadBuf::uninit(&mut bytes[..room]);
+    ready!(Pin::new(stream).poll_read(cx, read.unfilled()))?;
+    show(read.filled());
+    buf.put_slice(read.filled());
+    Poll::Ready(Ok(()))
+}
+
 impl Write for Noted {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
--- a/crates/forwarder/src/intake.rs
+++ b/crates/forwarder/src/intake.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
+use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
@@ -24,7 +26,7 @@
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tower::Service;
 
-use crate::connections::out_of_descriptors;
+use crate::connections::{locked, out_of_descriptors, read_through};
 use crate::limits::Limits;
 use crate::owner::Event;
 use crate::seldom::Seldom;
@@ -53,10 +55,61 @@
 /// One client's connection.
 struct Guest {
     seen: Mutex<Seen>,
+    tally: Mutex<Tally>,
     /// Its place is wanted for another.
     out: Notify,
 }
 
+/// What has come of a client's request, read from the bytes themselves: more than its length says is a wrong
+/// length, or another request inside it, as clients send one at a time.
+#[derive(Default)]
+struct Tally {
+    /// Bytes of the blank line after the head seen so far.
+    blank: usize,
+    head_over: bool,
+    past_head: usize,
+}
+
+impl Tally {
+    fn come(&mut self, mut bytes: &[u8]) {
+        const BLANK: &[u8] = b"\r\n\r\n";
+        while let (false, Some((byte, rest))) = (self.head_over, bytes.split_first()) {
+            self.blank =
+                if *byte == BLANK[self.blank] { self.blank + 1 } else { usize::from(*byte == b'\r') };
+            self.head_over = self.blank == BLANK.len();
+            bytes = rest;
+        }
+        self.past_head += bytes.len();
+    }
+}
+
+/// A client's stream, of which a tally is kept.
+struct Tallied {
+    stream: TokioIo<TcpStream>,
+    guest: Arc<Guest>,
+}
+
+impl Read for Tallied {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        read_through(&mut this.stream, cx, buf, |bytes| locked(&this.guest.tally).come(bytes))
+    }
+}
+
+impl Write for Tallied {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
+
 /// What a connection has shown of its client.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Seen {
@@ -90,11 +143,14 @@
 
 impl Guest {
     fn seen(&self) -> Seen {
-        *self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+        *locked(&self.seen)
     }
 
     fn now(&self, seen: Seen) {
-        *self.seen.lock().unwrap_or_else(PoisonError::into_inner) = seen;
+        if seen != Seen::Asking {
+            *locked(&self.tally) = Tally::default();
+        }
+        *locked(&self.seen) = seen;
     }
 }
 
@@ -115,7 +171,7 @@
     }
 
     fn guests(&self) -> MutexGuard<'_, BTreeMap<u64, Arc<Guest>>> {
-        self.guests.lock().unwrap_or_else(PoisonError::into_inner)
+        locked(&self.guests)
     }
 
     /// Closes the connection that can best be spared: of those that have never asked for anything the oldest,
@@ -158,7 +214,8 @@
         Box::pin(async move {
             let answer = intake.answer(request).await;
             intake.guest.now(Seen::Answered(Instant::now()));
-            let unread = matches!(answer, Answer::TooLarge | Answer::TooSlow | Answer::NoLength);
+            let unread =
+                matches!(answer, Answer::TooLarge | Answer::TooSlow | Answer::NoLength | Answer::WrongLength);
             Ok(answer.encode(intake.too_many || unread || intake.door.leaving()))
         })
     }
@@ -189,6 +246,9 @@
             Ok(Err(e)) => return Answer::Malformed(format!("body: {e}")),
             Err(_) => return Answer::TooSlow,
         };
+        if locked(&self.guest.tally).past_head > body.len() {
+            return Answer::WrongLength;
+        }
         let at = Instant::now();
         let hand_in = match HandIn::decode(&parts, body) {
             Ok(hand_in) => hand_in,
@@ -226,18 +286,23 @@
         };
         let _ = stream.set_nodelay(true);
         let too_many = door.guests().len() >= limits.clients && !door.spare_one();
-        let guest = Arc::new(Guest { seen: Mutex::new(Seen::Nothing(Instant::now())), out: Notify::new() });
+        let guest = Arc::new(Guest {
+            seen: Mutex::new(Seen::Nothing(Instant::now())),
+            tally: Mutex::default(),
+            out: Notify::new(),
+        });
         door.guests().insert(number, guest.clone());
         let intake = Intake { door: door.clone(), guest, owner: owner.clone(), too_many };
         let door = door.clone();
         tokio::spawn(async move {
-            serve(TokioIo::new(stream), from, intake).await;
+            let stream = Tallied { stream: TokioIo::new(stream), guest: intake.guest.clone() };
+            serve(stream, from, intake).await;
             door.guests().remove(&number);
         });
     }
 }
 
-async fn serve(stream: TokioIo<TcpStream>, from: SocketAddr, intake: Intake) {
+async fn serve(stream: Tallied, from: SocketAddr, intake: Intake) {
     let guest = intake.guest.clone();
     let mut closing = intake.door.closing.subscribe();
     let told = async {
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use reeddock::{
-    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, Listing, Outcome, Past, PeerId, TargetId,
+    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, Listing, Past, PeerId, TargetId,
 };
 use reeddock_ledger::{Ledger, Record, Taken, Unended};
 use reeddock_protocol::{bundles, Answer, Ending, GivenUp, HandIn, Letter, ListPart, Notice};
@@ -288,10 +288,8 @@
             let (id, never_ran) = (id.0.to_string(), outcome.never_ran());
             state.records.push(Record::Returned { id, no: no.0, never_ran });
         }
-        if outcome != Outcome::Completed {
-            tracing::debug!(id = &*id.0, no = no.0, ?ending, "a dispatch ended");
-        }
-        if ending == Ending::NotReadable {
+        tracing::debug!(id = &*id.0, no = no.0, ?ending, "a dispatch ended");
+        if matches!(ending, Ending::NotReadable | Ending::NotReadableTogether) {
             if let Some(more) = state.unreadable.now() {
                 tracing::warn!(id = &*id.0, more, "a target can't read a call with this envelope");
             }
@@ -519,6 +517,7 @@
                             GivenUp::BrokenOff => Answer::BrokenOff,
                         });
                     } else if self.forget(&id) {
+                        tracing::debug!(id = &*id.0, ?end, "given up");
                         self.records.push(Record::Ended { id: id.0.to_string(), notice: Some(end) });
                         orders.notices.push(Notice { id, end });
                     }
@@ -533,6 +532,12 @@
         let fresh = std::mem::take(&mut self.fresh);
         for Fresh { id, taken, .. } in &fresh {
             let size = Ledger::size_of(taken);
+            tracing::debug!(
+                id = &*id.0,
+                category = taken.category,
+                destination = taken.destination,
+                "taken on"
+            );
             self.bodies += size;
             self.owed.insert(id.clone(), Owed { body: taken.body.clone(), size, dispatches: 0 });
         }
@@ -546,6 +551,7 @@
             let Some(owed) = self.owed.get_mut(&id) else { continue };
             let (no, body) = (DispatchNo(owed.dispatches), owed.body.clone());
             owed.dispatches += 1;
+            tracing::debug!(id = &*id.0, no = no.0, ?target, ?time_out, "a dispatch begins");
             departing.push(Departing { id, no, target, time_out, body });
         }
         departing
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -482,6 +482,8 @@
         assert_eq!(hand_in(&life, "a", "order").await, 409);
         let nowhere = envelope("b", "order", 9.0, "").replace("dest=3", "dest=4");
         assert_eq!(status(&ask(life.address, nowhere).await), 503);
+        let short = envelope("d", "order", 9.0, "more than it says").replace("Length: 17", "Length: 4");
+        assert_eq!(status(&ask(life.address, short).await), 400);
         // Two ends of one body: what stands behind the first may be a request of its own.
         let inner = envelope("hidden", "order", 9.0, "");
         let both = envelope("c", "order", 9.0, &format!("0\r\n\r\n{inner}"));
@@ -541,6 +543,27 @@
     });
 }
 
+#[test]
+fn what_a_target_cannot_read_is_given_up_and_rests_nobody() {
+    story(async {
+        let world = World::new(|m| match m.id() {
+            "odd" => Reply::Say("HTTP/1.1 400 Bad\r\ncontent-length: 0\r\n\r\n".into()),
+            _ => Reply::Say(OK.into()),
+        })
+        .await;
+        let mut life = world.forwarder().await;
+        for id in ["odd", "even"] {
+            assert_eq!(hand_in(&life, id, "note").await, 202);
+            world.settled().await;
+        }
+        let notice = r#"{"id":"odd","status":"undeliverable"}"#;
+        assert_eq!(world.notices().trim(), notice);
+        let ids: Vec<_> = world.target.got().iter().map(|m| m.id().to_owned()).collect();
+        assert_eq!(ids, ["odd", "even"]);
+        life.kill();
+    });
+}
+
 #[test]
 fn what_comes_behind_an_answer_is_not_taken_for_the_next() {
     story(async {
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -94,6 +94,9 @@
     letters: &[Letter],
 ) -> Vec<Ending> {
     let for_all = ending_of(answer);
+    if for_all == Ending::NotReadable {
+        return vec![Ending::NotReadableTogether; letters.len()];
+    }
     if for_all != Ending::Completed {
         return vec![for_all; letters.len()];
     }
--- a/crates/protocol/src/ending.rs
+++ b/crates/protocol/src/ending.rs
@@ -18,8 +18,10 @@
     NoMoreDispatches,
     /// Not sent on: the envelope is over, and nothing more is owed.
     Over,
-    /// Answered as not readable or too large; it never ran.
+    /// A call with nothing else was answered as not readable or too large; it never ran.
     NotReadable,
+    /// The same for a call with others, one of which may be at fault.
+    NotReadableTogether,
     /// Answered with what no one agreed on; it may have run.
     Unheard,
     /// The connection was refused, or the attempt to make it failed.
@@ -49,7 +51,8 @@
             Ending::TurnedAway(wait) => Outcome::Full(wait),
             // These two say nothing of room at the target, so that they are no `Full`.
             Ending::NoMoreDispatches | Ending::Over => Outcome::Unsent,
-            Ending::NoSlot | Ending::NotReadable | Ending::NotBegun => Outcome::Unsent,
+            Ending::NoSlot | Ending::NotReadableTogether | Ending::NotBegun => Outcome::Unsent,
+            Ending::NotReadable => Outcome::Unreadable,
             Ending::Refused | Ending::NeverUp | Ending::CutShort => Outcome::NoConnection,
             Ending::Broken => Outcome::Broken,
             Ending::TimedOut => Outcome::TimedOut,
--- a/crates/protocol/src/hand_in.rs
+++ b/crates/protocol/src/hand_in.rs
@@ -71,6 +71,8 @@
     TooSlow,
     /// A body with no plain length.
     NoLength,
+    /// More came than its length says.
+    WrongLength,
     /// Its id is that of another envelope, of now or of a moment ago.
     IdTaken,
     /// The list knows no such destination, or not yet; nothing was taken on.
@@ -89,7 +91,7 @@
             Answer::Shed(_) => StatusCode::TOO_MANY_REQUESTS,
             Answer::BrokenOff => StatusCode::UNPROCESSABLE_ENTITY,
             Answer::NoRoom | Answer::NoDestination | Answer::Leaving => StatusCode::SERVICE_UNAVAILABLE,
-            Answer::Malformed(_) => StatusCode::BAD_REQUEST,
+            Answer::Malformed(_) | Answer::WrongLength => StatusCode::BAD_REQUEST,
             Answer::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Answer::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Answer::NoLength => StatusCode::LENGTH_REQUIRED,
--- a/src/control.rs
+++ b/src/control.rs
@@ -127,18 +127,6 @@
     Hold(Option<Duration>),
 }
 
-/// Drops failures that are older than the window, then keeps the newest few.
-fn prune(failures: &mut Vec<Duration>, now: Duration, window: Duration) {
-    failures.retain(|f| now.saturating_sub(*f) <= window);
-    failures.drain(..failures.len().saturating_sub(FAILURES_KEPT));
-}
-
-/// Whether enough failures exist and the newest of them fit in one window.
-fn tripped(failures: &[Duration], window: Duration) -> bool {
-    failures.len() >= THRESHOLD
-        && failures[failures.len() - 1].saturating_sub(failures[failures.len() - THRESHOLD]) <= window
-}
-
 impl Circuit {
     /// The design's question before each send. It changes nothing: the re-arming is in [`Circuit::re_arm`],
     /// as a trial that finds no envelope to carry it must not push the next one back.
@@ -159,8 +147,10 @@
 
     fn fail(&mut self, now: Duration, recovery_delay: Duration, card: &RateCard) {
         self.failures.push(now);
-        prune(&mut self.failures, now, card.window);
-        if self.restrained_until.is_some() || tripped(&self.failures, card.window) {
+        self.failures.retain(|f| now.saturating_sub(*f) <= card.window);
+        self.failures.drain(..self.failures.len().saturating_sub(FAILURES_KEPT));
+        // What is left of them lies within one window.
+        if self.restrained_until.is_some() || self.failures.len() >= THRESHOLD {
             // Never sooner than a wait that was told.
             self.restrained_until = self.restrained_until.max(Some(now + recovery_delay));
         }
@@ -323,7 +313,7 @@
         let Some(target) = self.targets.get_mut(&id) else { return };
         let (mut all_troubled, mut until) = (false, now);
         match outcome {
-            Outcome::CalledOff => return,
+            Outcome::CalledOff | Outcome::Unreadable => return,
             // Symptom: an envelope uses up its dispatches in an instant, as each comes back unsent: a slot or
             // a connection that was given up still counts, or the ledger fails. It can harm by a short rest.
             Outcome::Unsent => {
@@ -490,10 +480,13 @@
         self.answer_hopeless(now, host, &mut wake);
         self.make_room(now, host);
         self.keys.retain(|_, line| !line.line.is_empty() || now < line.rest_until);
+        let waited: BTreeMap<_, _> = self.waiting.iter().map(|d| (*d, self.waited(*d, now))).collect();
         while self.calls.len() < self.card.slots {
-            let turn = |id: &DestinationId| (self.calls_out(*id), self.destinations[id].last_turn, *id);
+            // Symptom: slots are short, and a long line gets no more of them than any other. Calls out weigh
+            // against the wait, so that a slow destination does not get all; others fill calls meanwhile.
+            let claim = |id: &DestinationId| ((self.calls_out(*id) + 1) as f64 / waited[id]) as u64;
+            let turn = |id: &DestinationId| (claim(id), self.destinations[id].last_turn, *id);
             let mut turns: Vec<_> = self.waiting.iter().map(turn).collect();
-            // Fewest calls out first, then whoever waited longest for a turn.
             turns.sort();
             if !turns.iter().any(|(_, _, d)| self.take_turn(*d, now, host, &mut wake)) {
                 break;
@@ -511,6 +504,14 @@
         }
     }
 
+    /// How long a destination's oldest envelope that may still keep its promise has waited, as a part of it.
+    fn waited(&self, destination: DestinationId, now: Duration) -> f64 {
+        let held = self.destinations[&destination].held.iter().filter_map(|id| self.envelopes.get(id));
+        let promised = |e: &Envelope| self.card.categories[e.category].promised.as_secs_f64().max(0.001);
+        let passed = |e: &Envelope| 1.0 - e.promised_by.saturating_sub(now).as_secs_f64() / promised(e);
+        held.map(passed).filter(|p| *p < 1.0).fold(0.001, f64::max)
+    }
+
     /// Drops what is too old to matter of a destination's records, before they are read.
     fn forget_old(&mut self, destination: DestinationId, now: Duration) {
         let Some(d) = self.destinations.get(&destination) else { return };
@@ -717,7 +718,11 @@
             return;
         }
         let destination = envelope.destination;
-        if forwarder.spent(&id, now) {
+        if outcome == Outcome::Unreadable {
+            // No target will ever read it, and whoever hands it in again is told the same.
+            host.break_off(&id);
+            forwarder.end(&id, host);
+        } else if forwarder.spent(&id, now) {
             forwarder.give_up(&id, now, host);
         } else {
             forwarder.hold(destination, id);
@@ -860,8 +865,7 @@
         let promised_by = outer_limit.saturating_sub(rate.outer_limit.saturating_sub(rate.promised));
         let tenant = tenant.and_then(|t| self.card.tenants.iter().position(|n| n.0 == t));
         let over_share = tenant.is_some_and(|t| self.over_share(t, now));
-        let envelope = Envelope::new(category, key, destination, promised_by, outer_limit, over_share);
-        self.take(id, envelope, now);
+        self.take(id, Envelope::new(category, key, destination, promised_by, outer_limit, over_share), now);
     }
 
     /// The host itself has handed in again what it took on before this start, with its dispatches until then.
@@ -923,11 +927,11 @@
         }
         // What travels together ends together, and tells its tale once.
         if call_over && !blamed {
-            let restrained =
+            let shut =
                 |f: &Forwarder| f.circuits.get(&dispatch.route).is_some_and(|c| c.restrained_until.is_some());
-            let before = restrained(self);
+            let before = shut(self);
             self.learn(&dispatch, now, outcome);
-            if before != restrained(self) && now >= self.log_after {
+            if before != shut(self) && now >= self.log_after {
                 self.log_after = now + LOG_EVERY;
                 let what = if before { "back" } else { "restrained" };
                 host.log(&format!("{what}: {:?}, after {outcome:?}", dispatch.route));
@@ -985,12 +989,4 @@
             self.wake_at = None;
         }
     }
-
-    /// The answer to a dispatch has begun: the envelope is the client's now, and other copies are of no use.
-    pub fn begun(&mut self, _now: Duration, id: &EnvelopeId, no: DispatchNo, host: &mut dyn Host) {
-        let Some(envelope) = self.envelopes.get(id) else { return };
-        for other in envelope.out.iter().filter(|o| **o != no) {
-            host.call_off(id, *other);
-        }
-    }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -52,12 +52,15 @@
     CalledOff,
     /// It never left the forwarder.
     Unsent,
+    /// The target could make nothing of it, and nothing of it ran.
+    Unreadable,
 }
 
 impl Outcome {
     /// Whether this end proves that the dispatch had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full(_) | Outcome::NoConnection | Outcome::Unsent)
+        use Outcome::*;
+        matches!(self, Full(_) | NoConnection | Unsent | Unreadable)
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -448,6 +448,9 @@
         }
     }
 
+    /// The answer to a dispatch has begun. No other is out for its envelope that could be called off.
+    pub fn begun(&mut self, _now: Duration, _id: &EnvelopeId, _no: DispatchNo, _host: &mut dyn Host) {}
+
     /// A probe has ended.
     pub fn probed(&mut self, _now: Duration, _target: TargetId, _well: bool) {}
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -233,6 +233,28 @@
     assert_eq!(story.sent_after(ms(0)), ["other"]);
 }
 
+#[test]
+fn where_slots_are_short_a_long_line_gets_more_of_them_than_a_short_one() {
+    let mut story = Story::with(&[(1, 9, "shared"), (2, 8, "shared")]);
+    for n in 0..30 {
+        story.hand_in(&format!("long{n}"), "note", 9);
+    }
+    for n in 0..8 {
+        // One call to the other comes and ends while the line waits.
+        story.hand_in(&format!("short{n}"), "note", 8);
+        story.after(ms(100));
+        story.ends(&format!("short{n}"), 0, Outcome::Completed);
+        story.ends(&format!("long{n}"), 0, Outcome::Completed);
+    }
+    for n in 8..16 {
+        story.hand_in(&format!("short{n}"), "note", 8);
+        story.ends(&format!("long{n}"), 0, Outcome::Completed);
+    }
+    let sent = story.sent_after(ms(0));
+    let long = sent.iter().filter(|id| id.starts_with("long")).count();
+    assert!(long > sent.len() / 2, "{sent:?}");
+}
+
 #[test]
 fn with_all_slots_out_an_overdue_call_gives_way_to_a_destination_that_answers() {
     let mut story = Story::with(&[(1, 9, "apart"), (2, 9, "apart"), (3, 8, "shared")]);
