Gone targets are forgotten in module and network; an address that passes on is connected anew

At fault: state.rs (nothing dropped), owner.rs (numbers were counted by the length of names), connections.rs. A gone target is kept for the longest outer limit and a margin more, as receipts and late ends speak of it.

--- a/crates/forwarder/src/calls.rs
+++ b/crates/forwarder/src/calls.rs
@@ -77,7 +77,7 @@
     let alone = call.letters.len() == 1;
     let completed = || Carried { endings: vec![Ending::Completed], wait: None };
     let (mut connection, answer) = loop {
-        let mut connection = connections.take(call.to).await?;
+        let mut connection = connections.take(call.target, call.to).await?;
         let said_ok = connection.says_ok();
         let answer = tokio::select! {
             biased;
@@ -97,7 +97,7 @@
     if alone && protocol::ending_of(&head) == Ending::Completed {
         // The head says all. The next call to this target, which may follow at once, finds the connection free
         // if the rest comes shortly.
-        let mut rest = Box::pin(finish(connections, call.to, connection, body));
+        let mut rest = Box::pin(finish(connections, call.target, connection, body));
         if timeout(REST_SHORTLY, &mut rest).await.is_err() {
             tokio::spawn(timeout(REST_AT_MOST, rest));
         }
@@ -107,7 +107,7 @@
     let whole = Limited::new(body, LONGEST_ANSWER).collect().await.map_err(|_| Ending::Spoilt)?.to_bytes();
     let clean = connection.ready().await;
     if clean {
-        connections.put(call.to, connection);
+        connections.put(call.target, connection);
     }
     if alone {
         return Ok(Carried { endings: vec![protocol::ending_of(&head)], wait: None });
@@ -116,9 +116,9 @@
     Ok(Carried { endings, wait: protocol::wait_of(&head) })
 }
 
-async fn finish(connections: Connections, to: SocketAddr, mut connection: Connection, body: Incoming) {
+async fn finish(connections: Connections, target: TargetId, mut connection: Connection, body: Incoming) {
     if Limited::new(body, LONGEST_ANSWER).collect().await.is_ok() && connection.ready().await {
-        connections.put(to, connection);
+        connections.put(target, connection);
     }
 }
 
--- a/crates/forwarder/src/connections.rs
+++ b/crates/forwarder/src/connections.rs
@@ -17,6 +17,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
+use reeddock::TargetId;
 use reeddock_protocol::Ending;
 use socket2::SockRef;
 use tokio::net::TcpStream;
@@ -284,10 +285,11 @@
     since: Instant,
 }
 
-/// Connections to targets. Idle ones are kept for the next call, for less time than the target keeps them.
+/// Connections to targets. Idle ones are kept for the next call, for less time than the target keeps them, and
+/// for that target alone: its address may pass to another.
 #[derive(Clone)]
 pub struct Connections {
-    idle: Arc<Mutex<BTreeMap<SocketAddr, VecDeque<Idle>>>>,
+    idle: Arc<Mutex<BTreeMap<TargetId, VecDeque<Idle>>>>,
     seats: Arc<Semaphore>,
     connect_within: Duration,
     idle_for: Duration,
@@ -304,9 +306,9 @@
         }
     }
 
-    /// A connection to this address: the idle one that was used last, else a new one.
-    pub async fn take(&self, to: SocketAddr) -> Result<Connection, Ending> {
-        while let Some(idle) = locked(&self.idle).get_mut(&to).and_then(VecDeque::pop_back) {
+    /// A connection to this target: the idle one that was used last, else a new one to its address.
+    pub async fn take(&self, target: TargetId, to: SocketAddr) -> Result<Connection, Ending> {
+        while let Some(idle) = locked(&self.idle).get_mut(&target).and_then(VecDeque::pop_back) {
             if idle.since.elapsed() < self.idle_for && idle.connection.sender.is_ready() {
                 return Ok(idle.connection);
             }
@@ -322,15 +324,15 @@
     }
 
     /// Takes back a connection whose answer has been read.
-    pub fn put(&self, to: SocketAddr, connection: Connection) {
+    pub fn put(&self, target: TargetId, connection: Connection) {
         if connection.sender.is_ready() {
             let idle = Idle { connection, since: Instant::now() };
-            locked(&self.idle).entry(to).or_default().push_back(idle);
+            locked(&self.idle).entry(target).or_default().push_back(idle);
         }
     }
 
-    pub fn close_idle(&self, to: SocketAddr) {
-        locked(&self.idle).remove(&to);
+    pub fn close_idle(&self, target: TargetId) {
+        locked(&self.idle).remove(&target);
     }
 
     /// Closes what has stood idle for too long, or has been closed by the other side.
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use reeddock::{
-    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, Listing, Past, PeerId, TargetId,
+    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, Listing, Past, PeerId, Standing, TargetId,
 };
 use reeddock_ledger::{Ledger, Record, Taken, Unended};
 use reeddock_protocol::{bundles, Answer, Ending, GivenUp, HandIn, Letter, ListPart, Notice};
@@ -143,6 +143,7 @@
 pub struct State {
     desk: Desk,
     names: BTreeMap<Arc<str>, TargetId>,
+    numbered: u32,
     places: BTreeMap<TargetId, Place>,
     owed: BTreeMap<EnvelopeId, Owed>,
     /// Ids of envelopes that were over by then, and the same in that order.
@@ -300,8 +301,11 @@
 
     /// The number of a target, which holds as long as this process.
     fn target(&mut self, name: &str) -> TargetId {
-        let next = TargetId(self.state.names.len() as u32);
-        *self.state.names.entry(Arc::from(name)).or_insert(next)
+        let numbered = &mut self.state.numbered;
+        *self.state.names.entry(Arc::from(name)).or_insert_with(|| {
+            *numbered += 1;
+            TargetId(*numbered - 1)
+        })
     }
 
     pub fn list(&mut self, part: ListPart) {
@@ -320,14 +324,31 @@
             // One that is gone may still be spoken of, though its address is not told any more.
             let Some(address) = entry.address else { continue };
             let place = Place { name: Arc::from(entry.name), address, batch };
-            if !self.state.places.contains_key(&target) {
-                // The module's lines name targets by number.
-                let (name, at, destination) = (&*place.name, place.address, entry.destination.0);
-                tracing::info!(name, %at, destination, "listed: {target:?}");
+            match self.state.places.get(&target) {
+                None => {
+                    // The module's lines name targets by number.
+                    let (name, at, destination) = (&*place.name, place.address, entry.destination.0);
+                    tracing::info!(name, %at, destination, "listed: {target:?}");
+                }
+                // Whoever is there now.
+                Some(old) if old.address != address => self.courier.connections.close_idle(target),
+                Some(_) => {}
             }
             self.state.places.insert(target, place);
         }
         self.forwarder.list_ends();
+        self.forget_gone();
+    }
+
+    /// What the module has forgotten is not kept here either: where targets are replaced all day under new names,
+    /// these would fill the memory.
+    fn forget_gone(&mut self) {
+        let known = &self.forwarder.targets;
+        self.state.names.retain(|_, id| known.contains_key(id));
+        self.state.places.retain(|id, _| known.contains_key(id));
+        for (id, _) in known.iter().filter(|(_, t)| t.standing == Standing::Gone) {
+            self.courier.connections.close_idle(*id);
+        }
     }
 
     /// Hands the module what the ledger holds from before this start, in the order in which it was taken on.
@@ -399,8 +420,8 @@
                 let _ = stop.send(());
             }
         }
-        for place in orders.close_idle.iter().filter_map(|target| self.state.places.get(target)) {
-            self.courier.connections.close_idle(place.address);
+        for target in orders.close_idle {
+            self.courier.connections.close_idle(target);
         }
         // What these leave to do comes with the next turn.
         if !kept.is_empty() || !gone.is_empty() {
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -622,6 +622,30 @@
     });
 }
 
+#[test]
+fn an_address_that_passes_to_a_new_target_is_connected_to_anew() {
+    story(async {
+        let world = World::new(|_| Reply::Say(OK.into())).await;
+        let mut life = world.forwarder().await;
+        assert_eq!(hand_in(&life, "a", "note").await, 202);
+        world.settled().await;
+        let at = world.target.address;
+        // The old one serves on for those that are connected to it.
+        world.tell(list(2, false, &[listed("t", at, 3, "Terminating"), listed("u", at, 4, "Ready")]));
+        let b = envelope("b", "note", 9.0, "").replace("dest=3", "dest=4");
+        until("it is known", || (world.platform.got().len() == 1).then_some(())).await;
+        sleep(ms(200)).await;
+        assert_eq!(status(&ask(life.address, b).await), 202);
+        let b = until("the call", || world.target.got().get(1).cloned()).await;
+        assert_eq!((b.id(), b.connection), ("b", 1));
+        world.settled().await;
+        world.tell(list(3, false, &[listed("t", at, 3, "Gone")]));
+        until("the old one's is closed", || (world.target.closed.load(Ordering::Relaxed) == 1).then_some(()))
+            .await;
+        life.kill();
+    });
+}
+
 #[test]
 fn a_watch_that_falls_silent_is_opened_again() {
     story(async {
--- a/src/control.rs
+++ b/src/control.rs
@@ -89,6 +89,7 @@
         let recovery_delay = (shortest / 2).max(Duration::from_millis(50));
         let window = recovery_delay * 10;
         RateCard {
+            longest: categories.iter().map(|c| c.outer_limit).max().unwrap_or_default(),
             categories,
             kinds: terms
                 .kinds
@@ -479,6 +480,7 @@
         }
         self.answer_hopeless(now, host, &mut wake);
         self.make_room(now, host);
+        self.forget_gone(now, self.card.longest + RECORD_MARGIN);
         self.keys.retain(|_, line| !line.line.is_empty() || now < line.rest_until);
         let waited: BTreeMap<_, _> = self.waiting.iter().map(|d| (*d, self.waited(*d, now))).collect();
         while self.calls.len() < self.card.slots {
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,6 +44,8 @@
     pub(crate) slots: usize,
     pub(crate) room: usize,
     pub(crate) dispatch_cap: u32,
+    /// The longest outer limit.
+    pub(crate) longest: Duration,
     pub(crate) come_back: Option<Duration>,
     pub(crate) window: Duration,
     pub(crate) recovery_delay: Duration,
@@ -112,10 +114,12 @@
     }
 }
 
-/// Lives as long as the target is listed.
+/// Lives as long as the target is listed, and a while after.
 pub struct Target {
     pub destination: DestinationId,
     pub standing: Standing,
+    /// Since when it is known to be gone.
+    pub gone: Option<Duration>,
     pub weight: Option<f64>,
     pub zone: String,
     pub kind: Option<usize>,
@@ -242,10 +246,29 @@
     /// The list has been told; what a whole one did not name is gone.
     pub fn list_ends(&mut self) {
         let Some(named) = self.telling.take() else { return };
-        for (id, target) in self.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
+        for (_, target) in self.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
             target.standing = Standing::Gone;
-            if let Some(d) = self.destinations.get_mut(&target.destination) {
-                d.targets.remove(id);
+        }
+    }
+
+    /// Drops targets that have been gone for so long, with their circuits, and destinations that have none left
+    /// and hold nothing: where targets are replaced all day, these would fill the memory.
+    pub(crate) fn forget_gone(&mut self, now: Duration, keep: Duration) {
+        let mut past = Vec::new();
+        for (id, target) in self.targets.iter_mut().filter(|(_, t)| t.standing == Standing::Gone) {
+            let since = *target.gone.get_or_insert(now);
+            if target.calls_out == 0 && now > since + keep {
+                past.push(*id);
+            }
+        }
+        for id in &past {
+            let Some(target) = self.targets.remove(id) else { continue };
+            self.circuits.remove(&Route::Apart(*id));
+            let Some(d) = self.destinations.get_mut(&target.destination) else { continue };
+            d.targets.remove(id);
+            if d.targets.is_empty() && d.held.is_empty() {
+                self.destinations.remove(&target.destination);
+                self.circuits.remove(&Route::Shared(target.destination));
             }
         }
     }
@@ -257,6 +280,7 @@
         let target = self.targets.entry(listing.target).or_insert_with(|| Target {
             destination: listing.destination,
             standing: listing.standing,
+            gone: None,
             weight: None,
             zone: String::new(),
             kind,
@@ -269,6 +293,7 @@
         });
         let before = std::mem::replace(&mut target.destination, listing.destination);
         target.standing = listing.standing;
+        target.gone = target.gone.filter(|_| listing.standing == Standing::Gone);
         target.weight = listing.weight.filter(|w| w.is_finite() && *w > 0.0);
         target.zone = listing.zone.to_owned();
         target.kind = kind;
@@ -414,7 +439,8 @@
             Route::Apart(target) => vec![target],
             Route::Shared(destination) => {
                 let targets = self.destinations.get(&destination).into_iter().flat_map(|d| &d.targets);
-                targets.copied().collect()
+                let gone = |id: &&TargetId| self.targets.get(id).is_none_or(|t| t.standing == Standing::Gone);
+                targets.filter(|id| !gone(id)).copied().collect()
             }
         }
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -375,6 +375,28 @@
     assert!((2..=30).contains(&to_small), "{to_small} of a hundred");
 }
 
+#[test]
+fn targets_that_are_replaced_all_day_are_forgotten_but_not_at_once() {
+    let mut story = Story::with(&[(0, 9, "apart"), (0, 8, "shared")]);
+    for n in 1..200 {
+        let name = format!("e{n}");
+        story.list(false, &[(n - 1, 9, "apart")], Standing::Gone);
+        story.list(
+            n % 2 == 0,
+            &[(n, 9, "apart"), (1000 + n, 100 + u64::from(n), "shared")],
+            Standing::Active,
+        );
+        assert!(story.forwarder.knows(DestinationId(9)), "also between two of its targets");
+        story.hand_in(&name, "note", 9);
+        assert_eq!(story.sent_after(ms(1000)), [name.as_str()]);
+        story.ends(&name, 0, Outcome::Completed);
+    }
+    assert!(story.forwarder.targets.contains_key(&TargetId(190)));
+    let f = &story.forwarder;
+    let kept = [f.targets.len(), f.circuits.len(), f.destinations.len()];
+    assert!(kept.iter().all(|kept| *kept < 80), "{kept:?}");
+}
+
 #[test]
 fn odd_lists_and_clocks_lose_no_envelope() {
     let mut story = Story::with(&[(1, 9, "shared"), (2, 8, "unheard")]);
