--- a/crates/forwarder/src/connections.rs
+++ b/crates/forwarder/src/connections.rs
@@ -1,6 +1,6 @@
 //! Connections to other machines: opened, kept while idle, and watched for how much of a request has left.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
@@ -198,6 +198,8 @@
     passage: Arc<Passage>,
     /// Sent on it so far.
     requests: u32,
+    /// How long it had stood idle before the last of them.
+    idle: Duration,
     _driver: Driver,
 }
 
@@ -226,7 +228,13 @@
             let _ = connection.await;
             drop(seat);
         });
-        Ok(Connection { sender, passage, requests: 0, _driver: Driver(driver.abort_handle()) })
+        Ok(Connection {
+            sender,
+            passage,
+            requests: 0,
+            idle: Duration::ZERO,
+            _driver: Driver(driver.abort_handle()),
+        })
     }
 
     /// Sends one request, once. What goes wrong is told by whether its last byte had left.
@@ -238,7 +246,7 @@
         self.requests += 1;
         sent.map_err(|fault| {
             let left = locked(&self.passage.departure).complete();
-            tracing::debug!(%fault, left, earlier = self.requests - 1, "a request got no answer");
+            tracing::debug!(%fault, left, earlier = self.requests - 1, idle = ?self.idle, "a request got no answer");
             match (left, fault.is_parse()) {
                 (false, _) => Ending::CutShort,
                 (true, false) => Ending::Broken,
@@ -285,11 +293,45 @@
     since: Instant,
 }
 
+/// A connection that has stood idle for less than this is always used again.
+const SURELY_KEPT: Duration = Duration::from_millis(50);
+/// After a break the time for which connections are trusted is half of what that one had stood idle, doubled
+/// each time this has passed.
+const TRUST_REGAINED: Duration = Duration::from_secs(4);
+/// Breaks at so many targets tell of all, as of something on the way to them.
+const BREAKS_EVERYWHERE: usize = 3;
+const BREAKS_KEPT: usize = 16;
+
+/// Kept connections that were silently dead: they broke under the next request, before any byte of an answer.
+/// What was sent on them may have run, so that an effectful envelope is lost by each.
+#[derive(Default)]
+struct Breaks(VecDeque<(Instant, TargetId, Duration)>);
+
+impl Breaks {
+    fn saw(&mut self, target: TargetId, stood: Duration) {
+        self.0.push_back((Instant::now(), target, stood));
+        self.0.drain(..self.0.len().saturating_sub(BREAKS_KEPT));
+    }
+
+    /// How long a connection to this target may have stood idle, by what was seen lately.
+    fn trusted(&self, target: TargetId) -> Duration {
+        let lately = || self.0.iter().filter(|b| b.0.elapsed() < 8 * TRUST_REGAINED);
+        let everywhere = lately().map(|b| b.1).collect::<BTreeSet<_>>().len() >= BREAKS_EVERYWHERE;
+        let trust = |(at, _, stood): &(Instant, TargetId, Duration)| {
+            let doublings = at.elapsed().as_secs_f64() / TRUST_REGAINED.as_secs_f64();
+            (*stood / 2).max(SURELY_KEPT).mul_f64(doublings.exp2())
+        };
+        let told = lately().filter(|b| everywhere || b.1 == target);
+        told.map(trust).min().unwrap_or(Duration::MAX)
+    }
+}
+
 /// Connections to targets. Idle ones are kept for the next call, for less time than the target keeps them, and
 /// for that target alone: its address may pass to another.
 #[derive(Clone)]
 pub struct Connections {
     idle: Arc<Mutex<BTreeMap<TargetId, VecDeque<Idle>>>>,
+    breaks: Arc<Mutex<Breaks>>,
     seats: Arc<Semaphore>,
     connect_within: Duration,
     idle_for: Duration,
@@ -299,6 +341,7 @@
     pub fn new(most: usize, connect_within: Duration, closed_after: Duration) -> Connections {
         Connections {
             idle: Arc::default(),
+            breaks: Arc::default(),
             seats: Arc::new(Semaphore::new(most)),
             connect_within,
             // A request must arrive before the target closes, which counts from when it wrote its answer.
@@ -308,9 +351,11 @@
 
     /// A connection to this target: the idle one that was used last, else a new one to its address.
     pub async fn take(&self, target: TargetId, to: SocketAddr) -> Result<Connection, Ending> {
+        let trusted = locked(&self.breaks).trusted(target).min(self.idle_for);
         while let Some(idle) = locked(&self.idle).get_mut(&target).and_then(VecDeque::pop_back) {
-            if idle.since.elapsed() < self.idle_for && idle.connection.sender.is_ready() {
-                return Ok(idle.connection);
+            let stood = idle.since.elapsed();
+            if stood < trusted && idle.connection.sender.is_ready() {
+                return Ok(Connection { idle: stood, ..idle.connection });
             }
         }
         let mut seat = self.seats.clone().try_acquire_owned();
@@ -331,6 +376,13 @@
         }
     }
 
+    /// This connection has broken under its last request.
+    pub fn broke(&self, target: TargetId, connection: &Connection) {
+        if connection.idle >= SURELY_KEPT && locked(&connection.passage.arrival).line.is_empty() {
+            locked(&self.breaks).saw(target, connection.idle);
+        }
+    }
+
     pub fn close_idle(&self, target: TargetId) {
         locked(&self.idle).remove(&target);
     }
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -804,6 +804,32 @@
     });
 }
 
+#[test]
+fn after_a_kept_connection_was_found_dead_those_that_stood_as_long_are_not_used() {
+    story(async {
+        let used = Mutex::new(BTreeMap::<usize, Instant>::new());
+        let world = World::new(move |m| {
+            // Whoever keeps these connections drops them after a tenth of a second, and tells nobody.
+            let before = used.lock().unwrap().insert(m.connection, Instant::now());
+            match before.is_some_and(|before| before.elapsed() > ms(100)) {
+                true => Reply::Close,
+                false => Reply::Say(OK.into()),
+            }
+        })
+        .await;
+        let mut life = world.forwarder().await;
+        for (id, category) in [("a", "note"), ("finds-out", "note"), ("b", "order"), ("c", "order")] {
+            assert_eq!(hand_in(&life, id, category).await, 202);
+            world.settled().await;
+            sleep(ms(200)).await;
+        }
+        assert_eq!(world.notices(), "");
+        let ids: Vec<_> = world.target.got().iter().map(|m| m.id().to_owned()).collect();
+        assert_eq!(ids, ["a", "finds-out", "finds-out", "b", "c"]);
+        life.kill();
+    });
+}
+
 #[test]
 fn asked_to_stop_it_says_so_serves_on_and_ends_what_it_can() {
     story(async {
