With many clients connected each is let go once it is answered

Seen on the incident: up to 46 % refused, though every answer in the log was a 202; 60 to 80 new connections a second at a forwarder, each asked once and stayed 2.1 s, and clients hold only so many. At fault: intake.rs kept every answered connection. A first request now has 2.1 s, as clients may take two, and its body 0.6 s.

--- a/crates/forwarder/src/intake.rs
+++ b/crates/forwarder/src/intake.rs
@@ -33,8 +33,8 @@
 
 /// A first request whose head has not come by then, and a body that has not come so long after its head, are
 /// not waited for: together less than three seconds, and far more than a client waits for its answer.
-const HEAD_WITHIN: Duration = Duration::from_millis(1500);
-const BODY_WITHIN: Duration = Duration::from_secs(1);
+const HEAD_WITHIN: Duration = Duration::from_millis(2100);
+const BODY_WITHIN: Duration = Duration::from_millis(600);
 /// A connection on which a request was answered is closed once none has followed for so long.
 const IDLE_WITHIN: Duration = Duration::from_millis(2100);
 /// A client that has just come sends its request right away: until then its connection is not spared.
@@ -197,6 +197,8 @@
     owner: mpsc::Sender<Event>,
     /// This connection is one too many: it is told so and closed.
     too_many: bool,
+    /// With more connections than these, each is closed once its client is answered.
+    kept: usize,
 }
 
 impl Service<Request<Incoming>> for Intake {
@@ -216,7 +218,8 @@
             intake.guest.now(Seen::Answered(Instant::now()));
             let unread =
                 matches!(answer, Answer::TooLarge | Answer::TooSlow | Answer::NoLength | Answer::WrongLength);
-            Ok(answer.encode(intake.too_many || unread || intake.door.leaving()))
+            let crowded = intake.door.guests().len() > intake.kept;
+            Ok(answer.encode(intake.too_many || unread || crowded || intake.door.leaving()))
         })
     }
 }
@@ -292,7 +295,7 @@
             out: Notify::new(),
         });
         door.guests().insert(number, guest.clone());
-        let intake = Intake { door: door.clone(), guest, owner: owner.clone(), too_many };
+        let intake = Intake { door: door.clone(), guest, owner: owner.clone(), too_many, kept: limits.kept };
         let door = door.clone();
         tokio::spawn(async move {
             let stream = Tallied { stream: TokioIo::new(stream), guest: intake.guest.clone() };
--- a/crates/forwarder/src/limits.rs
+++ b/crates/forwarder/src/limits.rs
@@ -15,6 +15,9 @@
     pub clients: usize,
     /// Connections of clients that are accepted at all.
     pub accepted: usize,
+    /// Connections of clients up to which those that were answered are kept for more: clients hold only so many
+    /// too, and some ask once and stay, so that the others could not come.
+    pub kept: usize,
     /// Connections to targets, idle ones counted.
     pub calls: usize,
     /// Hand-ins that wait for the owner of the module.
@@ -32,6 +35,7 @@
         Limits {
             clients: accepted - accepted / 8,
             accepted,
+            kept: accepted / 8,
             calls: free - accepted,
             queue: 1024,
             // The rest is for connections, each with the body that it is reading, and for the program.
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -472,6 +472,28 @@
     });
 }
 
+#[test]
+fn with_many_clients_connected_each_is_let_go_once_it_is_answered() {
+    story(async {
+        let mut world = World::new(|_| Reply::Say(OK.into())).await;
+        world.allowance.descriptors = 112;
+        let mut life = world.forwarder().await;
+        let mut stayed = Vec::new();
+        for n in 0..20 {
+            let mut stream = TcpStream::connect(life.address).await.unwrap();
+            stream.write_all(envelope(&format!("e{n}"), "note", 9.0, "").as_bytes()).await.unwrap();
+            let answer = read_message(&mut stream).await.unwrap();
+            assert_eq!(status(&answer), 202);
+            stayed.push((answer.headers.contains_key("connection"), stream));
+        }
+        assert_eq!(stayed.iter().filter(|s| !s.0).count(), 6, "an eighth of the places for clients");
+        for (_, mut stream) in stayed.into_iter().filter(|s| s.0) {
+            assert!(timeout(ms(500), read_message(&mut stream)).await.expect("closed").is_none());
+        }
+        life.kill();
+    });
+}
+
 #[test]
 fn an_id_that_is_or_was_open_and_a_destination_unheard_of_are_not_taken_on() {
     story(async {
