--- a/crates/forwarder/src/calls.rs
+++ b/crates/forwarder/src/calls.rs
@@ -86,9 +86,7 @@
             () = async { said_ok.await; sleep(REST_SHORTLY).await }, if alone => return Ok(completed()),
         };
         if answer.is_ok() || !connection.was_over() {
-            if answer.is_err() {
-                connections.broke(call.target, &connection);
-            }
+            connections.used(&connection, answer.is_ok());
             break (connection, answer);
         }
     };
--- a/crates/forwarder/src/connections.rs
+++ b/crates/forwarder/src/connections.rs
@@ -1,6 +1,6 @@
 //! Connections to other machines: opened, kept while idle, and watched for how much of a request has left.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
@@ -295,34 +295,50 @@
 
 /// A connection that has stood idle for less than this is always used again.
 const SURELY_KEPT: Duration = Duration::from_millis(50);
-/// After a break the time for which connections are trusted is half of what that one had stood idle, doubled
-/// each time this has passed.
+/// Of so many uses of connections that had stood longer, so many breaks make wary, and so few end that. Resets of
+/// one connection or one target stay under it.
+const USES_KEPT: usize = 64;
+const BREAKS_WARY: usize = 6;
+const BREAKS_USUAL: usize = 1;
+/// After a break connections are trusted for half of what that one had stood idle, doubled each time this has
+/// passed.
 const TRUST_REGAINED: Duration = Duration::from_secs(4);
-/// Breaks at so many targets tell of all, as of something on the way to them.
-const BREAKS_EVERYWHERE: usize = 3;
 const BREAKS_KEPT: usize = 16;
 
-/// Kept connections that were silently dead: they broke under the next request, before any byte of an answer.
-/// What was sent on them may have run, so that an effectful envelope is lost by each.
+/// How kept connections fare when they are used again. Some die without a word, as when something on the way drops
+/// them: they break under the next request, before any byte of an answer. What was sent on them may have run, so
+/// that an effectful envelope is lost by each.
 #[derive(Default)]
-struct Breaks(VecDeque<(Instant, TargetId, Duration)>);
+struct Uses {
+    /// The last ones, and whether they broke.
+    broke: VecDeque<bool>,
+    wary: bool,
+    /// When connections broke, and how long they had stood idle.
+    breaks: VecDeque<(Instant, Duration)>,
+}
 
-impl Breaks {
-    fn saw(&mut self, target: TargetId, stood: Duration) {
-        self.0.push_back((Instant::now(), target, stood));
-        self.0.drain(..self.0.len().saturating_sub(BREAKS_KEPT));
+impl Uses {
+    fn saw(&mut self, stood: Duration, broke: bool) {
+        if stood < SURELY_KEPT {
+            return;
+        }
+        self.broke.push_back(broke);
+        self.broke.drain(..self.broke.len().saturating_sub(USES_KEPT));
+        let broken = self.broke.iter().filter(|broke| **broke).count();
+        self.wary = broken >= BREAKS_WARY || self.wary && broken > BREAKS_USUAL;
+        if broke {
+            self.breaks.push_back((Instant::now(), stood));
+            self.breaks.drain(..self.breaks.len().saturating_sub(BREAKS_KEPT));
+        }
     }
 
-    /// How long a connection to this target may have stood idle, by what was seen lately.
-    fn trusted(&self, target: TargetId) -> Duration {
-        let lately = || self.0.iter().filter(|b| b.0.elapsed() < 8 * TRUST_REGAINED);
-        let everywhere = lately().map(|b| b.1).collect::<BTreeSet<_>>().len() >= BREAKS_EVERYWHERE;
-        let trust = |(at, _, stood): &(Instant, TargetId, Duration)| {
-            let doublings = at.elapsed().as_secs_f64() / TRUST_REGAINED.as_secs_f64();
+    /// How long a connection may have stood idle, by what was seen lately.
+    fn trusted(&self) -> Duration {
+        let trust = |(at, stood): &(Instant, Duration)| {
+            let doublings = (at.elapsed().as_secs_f64() / TRUST_REGAINED.as_secs_f64()).min(16.0);
             (*stood / 2).max(SURELY_KEPT).mul_f64(doublings.exp2())
         };
-        let told = lately().filter(|b| everywhere || b.1 == target);
-        told.map(trust).min().unwrap_or(Duration::MAX)
+        self.breaks.iter().filter(|_| self.wary).map(trust).min().unwrap_or(Duration::MAX)
     }
 }
 
@@ -331,7 +347,7 @@
 #[derive(Clone)]
 pub struct Connections {
     idle: Arc<Mutex<BTreeMap<TargetId, VecDeque<Idle>>>>,
-    breaks: Arc<Mutex<Breaks>>,
+    uses: Arc<Mutex<Uses>>,
     seats: Arc<Semaphore>,
     connect_within: Duration,
     idle_for: Duration,
@@ -341,7 +357,7 @@
     pub fn new(most: usize, connect_within: Duration, closed_after: Duration) -> Connections {
         Connections {
             idle: Arc::default(),
-            breaks: Arc::default(),
+            uses: Arc::default(),
             seats: Arc::new(Semaphore::new(most)),
             connect_within,
             // A request must arrive before the target closes, which counts from when it wrote its answer.
@@ -351,7 +367,7 @@
 
     /// A connection to this target: the idle one that was used last, else a new one to its address.
     pub async fn take(&self, target: TargetId, to: SocketAddr) -> Result<Connection, Ending> {
-        let trusted = locked(&self.breaks).trusted(target).min(self.idle_for);
+        let trusted = locked(&self.uses).trusted().min(self.idle_for);
         while let Some(idle) = locked(&self.idle).get_mut(&target).and_then(VecDeque::pop_back) {
             let stood = idle.since.elapsed();
             if stood < trusted && idle.connection.sender.is_ready() {
@@ -376,11 +392,10 @@
         }
     }
 
-    /// This connection has broken under its last request.
-    pub fn broke(&self, target: TargetId, connection: &Connection) {
-        if connection.idle >= SURELY_KEPT && locked(&connection.passage.arrival).line.is_empty() {
-            locked(&self.breaks).saw(target, connection.idle);
-        }
+    /// The last request on this connection was answered, or has broken it.
+    pub fn used(&self, connection: &Connection, answered: bool) {
+        let broke = !answered && locked(&connection.passage.arrival).line.is_empty();
+        locked(&self.uses).saw(connection.idle, broke);
     }
 
     pub fn close_idle(&self, target: TargetId) {
--- a/src/control.rs
+++ b/src/control.rs
@@ -58,6 +58,9 @@
 const CROWDED: f64 = 0.01;
 const CROWDED_STEP: f64 = 0.02;
 
+/// Part of its promise from which a line's wait weighs against its calls out. Symptom: slots are short, and a
+/// long line gets no more than any other. A slow one does not get all, and others fill their calls meanwhile.
+const LINE_WAITS: f64 = 0.1;
 /// Shortest wake that is asked for.
 const LEAST_WAKE: Duration = Duration::from_millis(1);
 /// A log line at most so often.
@@ -484,8 +487,6 @@
         self.keys.retain(|_, line| !line.line.is_empty() || now < line.rest_until);
         let waited: BTreeMap<_, _> = self.waiting.iter().map(|d| (*d, self.waited(*d, now))).collect();
         while self.calls.len() < self.card.slots {
-            // Symptom: slots are short, and a long line gets no more of them than any other. Calls out weigh
-            // against the wait, so that a slow destination does not get all; others fill calls meanwhile.
             let claim = |id: &DestinationId| ((self.calls_out(*id) + 1) as f64 / waited[id]) as u64;
             let turn = |id: &DestinationId| (claim(id), self.destinations[id].last_turn, *id);
             let mut turns: Vec<_> = self.waiting.iter().map(turn).collect();
@@ -511,7 +512,7 @@
         let held = self.destinations[&destination].held.iter().filter_map(|id| self.envelopes.get(id));
         let promised = |e: &Envelope| self.card.categories[e.category].promised.as_secs_f64().max(0.001);
         let passed = |e: &Envelope| 1.0 - e.promised_by.saturating_sub(now).as_secs_f64() / promised(e);
-        held.map(passed).filter(|p| *p < 1.0).fold(0.001, f64::max)
+        held.map(passed).filter(|p| *p < 1.0).fold(LINE_WAITS, f64::max)
     }
 
     /// Drops what is too old to matter of a destination's records, before they are read.
@@ -985,8 +986,7 @@
 
     /// A wake that was asked for has come.
     pub fn alarm(&mut self, now: Duration) {
-        // Symptom: an envelope outlives its limit, as a host's timer rounds down, and a wake that has come a
-        // hair early was still waited for.
+        // Symptom: an envelope outlives its limit, as a host's timer rounds down and wakes a hair early.
         if self.wake_at.is_some_and(|at| at <= now + LEAST_WAKE) {
             self.wake_at = None;
         }
