--- /dev/null
+++ b/crates/emulator/src/partner.rs
@@ -0,0 +1,135 @@
+//! One target as it really is: its queue, its work, its troubles, how cold it is and whether it falls over.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use crate::layout::{ForwarderNo, TargetNo, TargetPlan};
+use crate::limit::Gate;
+use crate::scenario::Returning;
+
+/// One call on its way to, at, or from a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallNo(pub usize);
+
+/// Chance of a few calls more within the span that counts.
+const PUSH_SLACK: f64 = 2.0;
+
+pub struct Partner {
+    pub plan: TargetPlan,
+    pub gate: Gate,
+    pub busy: usize,
+    pub queue: VecDeque<CallNo>,
+    pub serving: Vec<CallNo>,
+    /// Taken while it hangs, and answers that wait for the end of it.
+    pub stuck: Vec<CallNo>,
+    pub stuck_answers: Vec<CallNo>,
+    /// Troubles that stand, by their place in the scenario.
+    pub troubles: Vec<usize>,
+    /// Outages among these.
+    pub outages: u32,
+    pub returned: Option<Duration>,
+    pub fallen_until: Option<Duration>,
+    /// Not there any more: replaced, or left for good.
+    pub gone: bool,
+    pushed: VecDeque<(Duration, f64, ForwarderNo)>,
+    /// Raised when all connections break.
+    pub life: u32,
+    pub on_the_way: u32,
+    pub connections: u32,
+    /// Idle connections by forwarder, with the times since when.
+    pub idle: BTreeMap<ForwarderNo, Vec<Duration>>,
+}
+
+/// What a cold target was sent when that was more than it bears.
+pub struct Fall {
+    pub pushed: Vec<(Duration, f64, ForwarderNo)>,
+    pub budget: f64,
+}
+
+impl Partner {
+    pub fn new(plan: TargetPlan) -> Partner {
+        Partner {
+            gate: plan.gate.clone(),
+            plan,
+            busy: 0,
+            queue: VecDeque::new(),
+            serving: Vec::new(),
+            stuck: Vec::new(),
+            stuck_answers: Vec::new(),
+            troubles: Vec::new(),
+            outages: 0,
+            returned: None,
+            fallen_until: None,
+            gone: false,
+            pushed: VecDeque::new(),
+            life: 0,
+            on_the_way: 0,
+            connections: 0,
+            idle: BTreeMap::new(),
+        }
+    }
+
+    /// Share of its capacity that it has now.
+    pub fn warmth(&self, now: Duration, terms: &Returning) -> f64 {
+        let Some(returned) = self.returned else { return 1.0 };
+        let cold = terms.cold_from.get().max(0.01);
+        let warmed = now.saturating_sub(returned).as_secs_f64() / terms.warm_within.seconds().max(1e-6);
+        (cold + (1.0 - cold) * warmed).min(1.0)
+    }
+
+    pub fn fallen(&self, now: Duration) -> bool {
+        self.fallen_until.is_some_and(|until| now < until)
+    }
+
+    /// Work has reached it. While it is cold, more than a multiple of what it can do within a span tips it.
+    pub fn push(&mut self, now: Duration, work: f64, by: ForwarderNo, terms: &Returning) -> Option<Fall> {
+        let warmth = self.warmth(now, terms);
+        if warmth >= 1.0 {
+            self.pushed.clear();
+            return None;
+        }
+        let span = terms.tip_after.0;
+        self.pushed.push_back((now, work, by));
+        while self.pushed.front().is_some_and(|p| now.saturating_sub(p.0) > span) {
+            self.pushed.pop_front();
+        }
+        let sent: f64 = self.pushed.iter().map(|p| p.1).sum();
+        let budget =
+            terms.fall_multiple.get() * warmth * self.plan.capacity * span.as_secs_f64() + PUSH_SLACK;
+        if sent <= budget {
+            return None;
+        }
+        Some(Fall { pushed: self.pushed.drain(..).collect(), budget })
+    }
+
+    /// All connections break; names the calls that were queued, served or stuck.
+    pub fn break_all(&mut self) -> Vec<CallNo> {
+        self.life += 1;
+        self.connections = 0;
+        self.idle.clear();
+        self.busy = 0;
+        let mut calls: Vec<CallNo> = self.queue.drain(..).collect();
+        calls.append(&mut self.serving);
+        calls.append(&mut self.stuck);
+        calls.append(&mut self.stuck_answers);
+        calls
+    }
+
+    /// Drops connections that have been idle for too long.
+    pub fn close_idle_before(&mut self, since: Duration) {
+        let mut closed = 0;
+        self.idle.retain(|_, times| {
+            let before = times.len();
+            times.retain(|t| *t >= since);
+            closed += (before - times.len()) as u32;
+            !times.is_empty()
+        });
+        self.connections = self.connections.saturating_sub(closed);
+    }
+}
+
+/// A destination's own state beside its targets'.
+pub struct DestinationState {
+    pub gate: Gate,
+    pub targets: Vec<TargetNo>,
+}
--- /dev/null
+++ b/crates/emulator/src/policies/desk.rs
@@ -0,0 +1,365 @@
+//! What the baselines have in common: the envelopes in hand, the targets as the list has them, and the rules.
+//! A baseline is a [`Habit`] at this desk; it chooses a target and says whether there is another time. The
+//! desk lets nothing through that breaks a rule which one forwarder can keep by book-keeping alone (one
+//! answer, no double effect, drains, order, waits); whether a returning destination is pushed over is the
+//! habit's own affair.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use rand::SeedableRng;
+use reeddock::{
+    DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, Outcome, Past, PeerId, Standing, TargetId,
+    Terms,
+};
+
+use crate::figure::Chance;
+use crate::policy::{HandIn, ListLine, Policy, Sight};
+
+pub struct Held {
+    pub id: EnvelopeId,
+    pub category: usize,
+    pub key: Option<KeyId>,
+    pub destination: DestinationId,
+    pub outer_limit: Duration,
+    pub promised_by: Duration,
+    pub dispatches: u32,
+    pub not_before: Duration,
+    out: BTreeSet<DispatchNo>,
+    /// Where each dispatch went, and when.
+    sent: Vec<(TargetId, Duration)>,
+    may_have_run: Option<Duration>,
+}
+
+pub struct Known {
+    pub destination: DestinationId,
+    standing: Standing,
+    apart: bool,
+    wait_until: Duration,
+    pub calls_out: u32,
+}
+
+/// How a baseline differs from the others.
+pub trait Habit: Send {
+    /// Which of these targets gets the envelope now; none: it stays.
+    fn pick(
+        &mut self,
+        envelope: &Held,
+        able: &[TargetId],
+        known: &BTreeMap<TargetId, Known>,
+        now: Duration,
+        sight: &dyn Sight,
+        chance: &mut Chance,
+    ) -> Option<TargetId>;
+    /// A dispatch has ended.
+    fn ended(&mut self, target: TargetId, outcome: Outcome, now: Duration);
+    /// After how long an envelope whose dispatch so ended may go again; none: never.
+    fn again(&mut self, envelope: &Held, outcome: Outcome, chance: &mut Chance) -> Option<Duration>;
+    /// The order in which envelopes are taken up: first those with the least.
+    fn urgency(&self, _envelope: &Held) -> Duration {
+        Duration::ZERO
+    }
+    fn time_out(&self, promised: Duration) -> Duration {
+        promised
+    }
+    /// It looks again after so long while anything waits.
+    fn looks_every(&self) -> Duration;
+}
+
+pub struct Desk<H> {
+    habit: H,
+    chance: Chance,
+    terms: Terms,
+    held: BTreeMap<u64, Held>,
+    numbers: BTreeMap<EnvelopeId, u64>,
+    /// Held and not out, in the order in which they were taken.
+    waiting: VecDeque<u64>,
+    known: BTreeMap<TargetId, Known>,
+    /// Waits told by destinations whose targets share one.
+    waits: BTreeMap<DestinationId, Duration>,
+    lines: BTreeMap<KeyId, VecDeque<u64>>,
+    rests: BTreeMap<KeyId, (Duration, u64)>,
+    calls_out: usize,
+    taken: u64,
+    wake_at: Option<Duration>,
+}
+
+impl<H: Habit> Desk<H> {
+    pub fn open(terms: Terms, habit: H) -> Desk<H> {
+        Desk {
+            habit,
+            chance: Chance::seed_from_u64(terms.seed),
+            terms,
+            held: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            known: BTreeMap::new(),
+            waits: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            rests: BTreeMap::new(),
+            calls_out: 0,
+            taken: 0,
+            wake_at: None,
+        }
+    }
+
+    fn effect(&self, envelope: &Held) -> Effect {
+        self.terms.categories[envelope.category].effect.unwrap_or(Effect::Effectful)
+    }
+
+    fn may_run_again(&self, envelope: &Held, now: Duration) -> bool {
+        match (self.effect(envelope), envelope.may_have_run) {
+            (_, None) | (Effect::Pure, _) => true,
+            (Effect::Receipted { window, .. }, Some(first)) => now < first + window,
+            (Effect::Effectful, Some(_)) => false,
+        }
+    }
+
+    fn leave(&mut self, number: u64) -> Option<Held> {
+        let envelope = self.held.remove(&number)?;
+        self.numbers.remove(&envelope.id);
+        self.waiting.retain(|n| *n != number);
+        Some(envelope)
+    }
+
+    fn give_up(&mut self, number: u64, now: Duration, host: &mut dyn Host) {
+        let Some(envelope) = self.leave(number) else { return };
+        let harmless = self.may_run_again(&envelope, now) && envelope.out.is_empty();
+        if harmless && now < envelope.outer_limit {
+            let until = self.waits.get(&envelope.destination).copied().unwrap_or_default();
+            let wait = self.terms.come_back.map(|most| until.saturating_sub(now).min(most));
+            host.shed(&envelope.id, wait.filter(|w| !w.is_zero()));
+        } else {
+            host.break_off(&envelope.id);
+        }
+        for no in &envelope.out {
+            host.call_off(&envelope.id, *no);
+        }
+        if envelope.out.is_empty() {
+            if let Some(line) = envelope.key.and_then(|k| self.lines.get_mut(&k)) {
+                line.retain(|n| *n != number);
+            }
+        }
+    }
+
+    fn key_free(&self, number: u64, envelope: &Held, now: Duration) -> bool {
+        let Some(key) = envelope.key else { return true };
+        let first = self.lines.get(&key).and_then(|l| l.front()).is_none_or(|f| *f == number);
+        let rest = self.rests.get(&key);
+        first && rest.is_none_or(|(until, owner)| now >= *until || *owner == number)
+    }
+
+    fn able(&self, envelope: &Held, now: Duration) -> Vec<TargetId> {
+        let shared = self.waits.get(&envelope.destination).copied().unwrap_or_default();
+        let open = |t: &Known| {
+            t.destination == envelope.destination
+                && t.standing == Standing::Active
+                && now >= if t.apart { t.wait_until } else { shared }
+        };
+        self.known.iter().filter(|(_, t)| open(t)).map(|(id, _)| *id).collect()
+    }
+
+    fn next_wake(&self, now: Duration) -> Option<Duration> {
+        let waits = self.waits.values().chain(self.known.values().map(|t| &t.wait_until)).copied();
+        let held = self.waiting.iter().filter_map(|n| self.held.get(n));
+        let times = held.flat_map(|e| [e.outer_limit, e.not_before]);
+        let rests = self.rests.values().map(|r| r.0);
+        let look = (!self.waiting.is_empty()).then(|| now + self.habit.looks_every());
+        waits.chain(times).chain(rests).chain(look).filter(|at| *at > now).min()
+    }
+}
+
+impl<H: Habit> Policy for Desk<H> {
+    fn list(&mut self, _now: Duration, whole: bool, lines: &[ListLine], _host: &mut dyn Host) {
+        if whole {
+            self.known.values_mut().for_each(|t| t.standing = Standing::Gone);
+        }
+        for line in lines {
+            let apart = self.terms.kinds.iter().any(|k| k.0 == line.kind && k.1);
+            let known = self.known.entry(line.target).or_insert(Known {
+                destination: line.destination,
+                standing: line.standing,
+                apart,
+                wait_until: Duration::ZERO,
+                calls_out: 0,
+            });
+            known.standing = line.standing;
+        }
+    }
+
+    fn hand_in(&mut self, _now: Duration, e: &HandIn, host: &mut dyn Host) {
+        let Some(category) = self.terms.categories.iter().position(|c| c.name == e.category) else {
+            return host.break_off(&e.id);
+        };
+        self.taken += 1;
+        let number = self.taken;
+        let terms = &self.terms.categories[category];
+        let limit = terms.outer_limit.unwrap_or_default();
+        let key = e.key.filter(|_| terms.ordered);
+        if let Some(key) = key {
+            self.lines.entry(key).or_default().push_back(number);
+        }
+        let held = Held {
+            id: e.id.clone(),
+            category,
+            key,
+            destination: e.destination,
+            outer_limit: e.outer_limit,
+            promised_by: e.outer_limit.saturating_sub(limit) + terms.promised.unwrap_or(limit),
+            dispatches: 0,
+            not_before: Duration::ZERO,
+            out: BTreeSet::new(),
+            sent: Vec::new(),
+            may_have_run: None,
+        };
+        self.held.insert(number, held);
+        self.numbers.insert(e.id.clone(), number);
+        self.waiting.push_back(number);
+    }
+
+    fn recall(&mut self, now: Duration, id: &EnvelopeId, past: &[Past], host: &mut dyn Host) {
+        let Some(number) = self.numbers.get(id).copied() else { return };
+        let rest = now + self.terms.key_rest.unwrap_or_default();
+        let Some(envelope) = self.held.get_mut(&number) else { return };
+        envelope.dispatches = past.len() as u32;
+        envelope.sent = past.iter().map(|p| (p.target, p.sent)).collect();
+        envelope.may_have_run = past.iter().filter(|p| !p.never_ran).map(|p| p.sent).min();
+        if let (Some(key), Some(_)) = (envelope.key, envelope.may_have_run) {
+            self.rests.insert(key, (rest, number));
+        }
+        let again = self.held.get(&number).is_some_and(|e| self.may_run_again(e, now));
+        if !again {
+            self.give_up(number, now, host);
+        }
+    }
+
+    fn settled(
+        &mut self,
+        now: Duration,
+        id: &EnvelopeId,
+        no: DispatchNo,
+        outcome: Outcome,
+        over: bool,
+        host: &mut dyn Host,
+    ) {
+        self.calls_out = self.calls_out.saturating_sub(1);
+        let Some(number) = self.numbers.get(id).copied() else { return };
+        let Some(envelope) = self.held.get_mut(&number) else { return };
+        envelope.out.remove(&no);
+        let Some((target, sent)) = envelope.sent.get(no.0 as usize).copied() else { return };
+        if !outcome.never_ran() {
+            envelope.may_have_run = Some(envelope.may_have_run.map_or(sent, |first| first.min(sent)));
+        }
+        if let (Some(key), Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff) = (envelope.key, outcome)
+        {
+            self.rests.insert(key, (now + self.terms.key_rest.unwrap_or_default(), number));
+        }
+        if let Some(known) = self.known.get_mut(&target) {
+            known.calls_out = known.calls_out.saturating_sub(1);
+            if let Outcome::Full(Some(wait)) = outcome {
+                let until = if known.apart {
+                    &mut known.wait_until
+                } else {
+                    self.waits.entry(known.destination).or_default()
+                };
+                *until = (*until).max(now + wait);
+            }
+        }
+        self.habit.ended(target, outcome, now);
+        if over {
+            if let Some(line) = envelope.key.and_then(|k| self.lines.get_mut(&k)) {
+                line.retain(|n| *n != number);
+            }
+            self.leave(number);
+            return;
+        }
+        let cap = self.terms.dispatch_cap.unwrap_or(u64::MAX);
+        let left = self.held.get(&number).filter(|e| u64::from(e.dispatches) < cap);
+        let again = left.and_then(|e| self.habit.again(e, outcome, &mut self.chance));
+        let Some(envelope) = self.held.get_mut(&number) else { return };
+        match again {
+            Some(after) => {
+                envelope.not_before = now + after;
+                self.waiting.push_back(number);
+                if self.held.get(&number).is_some_and(|e| !self.may_run_again(e, now)) {
+                    self.give_up(number, now, host);
+                }
+            }
+            None => self.give_up(number, now, host),
+        }
+    }
+
+    fn withdrawn(&mut self, id: &EnvelopeId, host: &mut dyn Host) {
+        let Some(number) = self.numbers.get(id).copied() else { return };
+        if let Some(envelope) = self.leave(number) {
+            for no in &envelope.out {
+                host.call_off(id, *no);
+            }
+            if let Some(line) = envelope.key.and_then(|k| self.lines.get_mut(&k)) {
+                line.retain(|n| *n != number);
+            }
+        }
+    }
+
+    fn alarm(&mut self, _now: Duration) {
+        self.wake_at = None;
+    }
+
+    fn probed(&mut self, _now: Duration, _target: TargetId, _well: bool) {}
+
+    fn told(&mut self, _now: Duration, _from: PeerId, _note: &[u8]) {}
+
+    fn turn(&mut self, now: Duration, sight: &dyn Sight, host: &mut dyn Host) {
+        self.rests.retain(|_, (until, _)| *until > now);
+        let past =
+            |n: &u64| self.held.get(n).is_none_or(|e| now >= e.outer_limit || !self.may_run_again(e, now));
+        let hopeless: Vec<u64> = self.waiting.iter().filter(|n| past(n)).copied().collect();
+        for number in hopeless {
+            self.give_up(number, now, host);
+        }
+        let room = self.terms.room.unwrap_or(u64::MAX) as usize;
+        while self.held.len() >= room {
+            let Some(last) = self.waiting.back().copied() else { break };
+            self.give_up(last, now, host);
+        }
+        let slots = self.terms.slots.unwrap_or(u64::MAX) as usize;
+        let mut order: Vec<(Duration, usize, u64)> = Vec::new();
+        if self.calls_out < slots {
+            let urgency = |n: &u64| self.held.get(n).map_or(Duration::MAX, |e| self.habit.urgency(e));
+            order = self.waiting.iter().enumerate().map(|(place, n)| (urgency(n), place, *n)).collect();
+            order.sort();
+        }
+        for (_, _, number) in order {
+            if self.calls_out >= slots {
+                break;
+            }
+            let Some(envelope) = self.held.get(&number) else { continue };
+            if now < envelope.not_before || !self.key_free(number, envelope, now) {
+                continue;
+            }
+            let able = self.able(envelope, now);
+            if able.is_empty() {
+                continue;
+            }
+            let pick = self.habit.pick(envelope, &able, &self.known, now, sight, &mut self.chance);
+            let Some(target) = pick else { continue };
+            let promised = self.terms.categories[envelope.category].promised.unwrap_or_default();
+            let time_out = self.habit.time_out(promised).min(envelope.outer_limit - now);
+            let Some(envelope) = self.held.get_mut(&number) else { continue };
+            envelope.out.insert(DispatchNo(envelope.dispatches));
+            envelope.dispatches += 1;
+            envelope.sent.push((target, now));
+            let id = envelope.id.clone();
+            self.waiting.retain(|n| *n != number);
+            self.calls_out += 1;
+            if let Some(known) = self.known.get_mut(&target) {
+                known.calls_out += 1;
+            }
+            host.dispatch(&id, target, time_out);
+        }
+        if let Some(at) = self.next_wake(now).filter(|at| self.wake_at.is_none_or(|w| *at < w || w <= now)) {
+            self.wake_at = Some(at);
+            host.wake(at - now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/policies/habits.rs
@@ -0,0 +1,186 @@
+//! The baselines.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use reeddock::{DestinationId, Outcome, TargetId};
+
+use super::desk::{Habit, Held, Known};
+use crate::figure::Chance;
+use crate::policy::Sight;
+
+/// Breakers open and room appears without anybody telling.
+const LOOK: Duration = Duration::from_millis(20);
+
+type Targets = BTreeMap<TargetId, Known>;
+
+fn any(able: &[TargetId], chance: &mut Chance) -> Option<TargetId> {
+    (!able.is_empty()).then(|| able[chance.random_range(0..able.len())])
+}
+
+/// Each envelope once.
+pub struct OneTry;
+
+impl Habit for OneTry {
+    fn pick(
+        &mut self,
+        _: &Held,
+        able: &[TargetId],
+        _: &Targets,
+        _: Duration,
+        _: &dyn Sight,
+        chance: &mut Chance,
+    ) -> Option<TargetId> {
+        any(able, chance)
+    }
+    fn ended(&mut self, _: TargetId, _: Outcome, _: Duration) {}
+    fn again(&mut self, _: &Held, outcome: Outcome, _: &mut Chance) -> Option<Duration> {
+        // What never left the forwarder was no try.
+        (outcome == Outcome::Unsent).then_some(Duration::from_millis(50))
+    }
+    fn time_out(&self, _: Duration) -> Duration {
+        Duration::MAX
+    }
+    fn looks_every(&self) -> Duration {
+        LOOK
+    }
+}
+
+/// The wait before the nth further try: doubling from 100 ms, 5 s at most, drawn from the upper half.
+fn back_off(tries: u32, chance: &mut Chance) -> Duration {
+    let most = (0.1 * 2.0_f64.powi(tries.saturating_sub(1).min(10) as i32)).min(5.0);
+    Duration::from_secs_f64(most * (0.5 + 0.5 * chance.random::<f64>()))
+}
+
+pub struct BackOff;
+
+impl Habit for BackOff {
+    fn pick(
+        &mut self,
+        _: &Held,
+        able: &[TargetId],
+        _: &Targets,
+        _: Duration,
+        _: &dyn Sight,
+        chance: &mut Chance,
+    ) -> Option<TargetId> {
+        any(able, chance)
+    }
+    fn ended(&mut self, _: TargetId, _: Outcome, _: Duration) {}
+    fn again(&mut self, envelope: &Held, _: Outcome, chance: &mut Chance) -> Option<Duration> {
+        (envelope.dispatches < 5).then(|| back_off(envelope.dispatches, chance))
+    }
+    fn looks_every(&self) -> Duration {
+        LOOK
+    }
+}
+
+/// Closed until five failures in a row, then open for five seconds, then half open for one call.
+#[derive(Default)]
+pub struct Breaker {
+    states: BTreeMap<TargetId, State>,
+    rounds: BTreeMap<DestinationId, usize>,
+}
+
+#[derive(Default)]
+struct State {
+    failures: u32,
+    open_until: Option<Duration>,
+    trial_out: bool,
+}
+
+const FAILURES: u32 = 5;
+const OPEN_FOR: Duration = Duration::from_secs(5);
+
+impl Habit for Breaker {
+    fn pick(
+        &mut self,
+        envelope: &Held,
+        able: &[TargetId],
+        _: &Targets,
+        now: Duration,
+        _: &dyn Sight,
+        _: &mut Chance,
+    ) -> Option<TargetId> {
+        let round = self.rounds.entry(envelope.destination).or_default();
+        for step in 0..able.len() {
+            let target = able[(*round + step) % able.len()];
+            let state = self.states.entry(target).or_default();
+            let lets = state.open_until.is_none_or(|until| now >= until && !state.trial_out);
+            if lets {
+                state.trial_out = state.open_until.is_some();
+                *round = (*round + step + 1) % able.len();
+                return Some(target);
+            }
+        }
+        None
+    }
+
+    fn ended(&mut self, target: TargetId, outcome: Outcome, now: Duration) {
+        let state = self.states.entry(target).or_default();
+        match outcome {
+            Outcome::Completed => *state = State::default(),
+            Outcome::CalledOff | Outcome::Unsent | Outcome::Unreadable => state.trial_out = false,
+            _ => {
+                state.failures += 1;
+                if state.trial_out || state.failures >= FAILURES {
+                    state.open_until = Some(now + OPEN_FOR);
+                    state.trial_out = false;
+                }
+            }
+        }
+    }
+
+    fn again(&mut self, envelope: &Held, _: Outcome, chance: &mut Chance) -> Option<Duration> {
+        (envelope.dispatches < 5).then(|| back_off(envelope.dispatches, chance))
+    }
+    fn looks_every(&self) -> Duration {
+        LOOK
+    }
+}
+
+/// Sends only where the call will be taken and answered, to the target that is done soonest, what falls due
+/// first in front.
+#[derive(Default)]
+pub struct Ceiling {
+    /// Sent to each destination at this instant, which the world has not seen yet.
+    fresh: BTreeMap<DestinationId, u32>,
+    at: Duration,
+}
+
+impl Habit for Ceiling {
+    fn pick(
+        &mut self,
+        envelope: &Held,
+        able: &[TargetId],
+        _: &Targets,
+        now: Duration,
+        sight: &dyn Sight,
+        _: &mut Chance,
+    ) -> Option<TargetId> {
+        if now != self.at {
+            self.fresh.clear();
+            self.at = now;
+        }
+        let fresh = self.fresh.entry(envelope.destination).or_default();
+        let open = able.iter().filter(|t| sight.would_take(**t, *fresh));
+        let cost = |t: &TargetId| (sight.burden(*t) + 1.0) * sight.slowness(*t);
+        let pick = open.min_by(|a, b| cost(a).total_cmp(&cost(b))).copied();
+        *fresh += u32::from(pick.is_some());
+        pick
+    }
+    fn ended(&mut self, _: TargetId, _: Outcome, _: Duration) {}
+    fn again(&mut self, _: &Held, _: Outcome, _: &mut Chance) -> Option<Duration> {
+        Some(Duration::from_millis(20))
+    }
+    fn urgency(&self, envelope: &Held) -> Duration {
+        envelope.promised_by
+    }
+    fn time_out(&self, _: Duration) -> Duration {
+        Duration::MAX
+    }
+    fn looks_every(&self) -> Duration {
+        LOOK
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/world/mod.rs
@@ -0,0 +1,291 @@
+//! The run itself: events in order of time, each handled by the part that it belongs to.
+
+mod clients;
+mod forwarders;
+mod targets;
+mod troubles;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use reeddock::{Outcome, Standing};
+
+use crate::account::{Account, WATCHED};
+use crate::agenda::Agenda;
+use crate::figure::Chance;
+use crate::layout::{chance, purpose, DestinationNo, ForwarderNo, Layout, TargetNo};
+use crate::oracles::{CategoryRules, EnvelopeNo, Oracles, Place, TryNo};
+use crate::partner::{CallNo, DestinationState, Partner};
+use crate::policy::Maker;
+use crate::report::{rounded, Latency, Part, Report, Watched, WORST_SPAN};
+use crate::scenario::Scenario;
+
+use clients::FirstTry;
+use forwarders::{Call, Envelope, Notice, Station};
+
+/// What is to come. Forwarders are named with their start: what was meant for an earlier one is void.
+pub(crate) enum Event {
+    Arrive {
+        program: usize,
+    },
+    Return(TryNo),
+    Withdraw(EnvelopeNo),
+    Overdue(EnvelopeNo),
+    Turn(ForwarderNo, u32),
+    Alarm(ForwarderNo, u32),
+    Notice(ForwarderNo, u32, Notice),
+    /// A list change is due at a forwarder.
+    ListDue(ForwarderNo, Vec<(TargetNo, Standing)>),
+    Reach(CallNo),
+    NotConnected(CallNo),
+    /// A worker of that life of the target is done.
+    Done(TargetNo, u32, CallNo),
+    Answer(CallNo, Outcome),
+    TimeOut(CallNo, usize),
+    ProbeReaches(ForwarderNo, u32, TargetNo),
+    TroubleBegins(usize),
+    TroubleEnds(usize),
+    /// What fell over comes back.
+    Risen(TargetNo),
+}
+
+/// Streams of chance that decisions must not shift against each other.
+pub(crate) struct Chances {
+    arrivals: Chance,
+    service: Chance,
+    network: Chance,
+    clients: Chance,
+    list: Chance,
+    starts: Chance,
+}
+
+pub struct World<'a> {
+    scenario: &'a Scenario,
+    seed: u64,
+    name: &'a str,
+    maker: &'a Maker<'a>,
+    layout: Layout,
+    agenda: Agenda<Event>,
+    chances: Chances,
+    tries: Vec<FirstTry>,
+    envelopes: Vec<Envelope>,
+    calls: Vec<Call>,
+    stations: Vec<Station>,
+    partners: Vec<Partner>,
+    destinations: Vec<DestinationState>,
+    /// How the list has each target, whoever was told so yet.
+    listed: Vec<Standing>,
+    /// Targets that each trouble that stands has met.
+    met: BTreeMap<usize, Vec<TargetNo>>,
+    /// List changes that wait for the end of a freeze.
+    frozen: Vec<(ForwarderNo, Vec<(TargetNo, Standing)>)>,
+    oracles: Oracles,
+    account: Account,
+    /// First tries that may still bring an event: open, or on their way back.
+    open: usize,
+    arrivals_over: usize,
+    turns: u64,
+    /// Parts of traffic, summed for drawing.
+    destination_sums: Vec<f64>,
+    category_sums: Vec<f64>,
+}
+
+fn sums(parts: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut sum = 0.0;
+    parts
+        .map(|p| {
+            sum += p;
+            sum
+        })
+        .collect()
+}
+
+impl<'a> World<'a> {
+    pub fn new(scenario: &'a Scenario, seed: u64, name: &'a str, maker: &'a Maker<'a>) -> World<'a> {
+        let layout = Layout::draw(scenario, seed);
+        let fleet = &scenario.fleet;
+        let rules = |c: &crate::scenario::Category| CategoryRules {
+            effect: c.effect(),
+            ordered: c.ordered_keys.is_some(),
+        };
+        let slack = fleet.answer_slack.0 + fleet.tick.0;
+        let oracles = Oracles::new(
+            scenario.categories.iter().map(rules).collect(),
+            layout.forwarders.len(),
+            fleet.drain_grace.0,
+            fleet.key_rest.0,
+            slack,
+        );
+        let stream = |purpose| chance(seed, purpose);
+        World {
+            scenario,
+            seed,
+            name,
+            maker,
+            agenda: Agenda::default(),
+            chances: Chances {
+                arrivals: stream(purpose::ARRIVALS),
+                service: stream(purpose::SERVICE),
+                network: stream(purpose::NETWORK),
+                clients: stream(purpose::CLIENTS),
+                list: stream(purpose::LIST),
+                starts: stream(purpose::FORWARDERS),
+            },
+            tries: Vec::new(),
+            envelopes: Vec::new(),
+            calls: Vec::new(),
+            stations: layout.forwarders.iter().map(|(zone, _)| Station::new(*zone)).collect(),
+            partners: layout.targets.iter().cloned().map(Partner::new).collect(),
+            destinations: layout
+                .destinations
+                .iter()
+                .map(|d| DestinationState { gate: d.gate.clone(), targets: d.targets.clone() })
+                .collect(),
+            listed: vec![Standing::Active; layout.targets.len()],
+            met: BTreeMap::new(),
+            frozen: Vec::new(),
+            oracles,
+            account: Account::new(scenario, layout.destinations.len()),
+            open: 0,
+            arrivals_over: 0,
+            turns: 0,
+            destination_sums: sums(layout.destinations.iter().map(|d| d.part)),
+            category_sums: sums(scenario.categories.iter().map(|c| c.part.get())),
+            layout,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.agenda.now()
+    }
+
+    fn place_of(&self, target: TargetNo) -> Place {
+        let destination = self.partners[target.0].plan.destination;
+        if self.scenario.kinds[self.layout.destinations[destination.0].kind].apart {
+            Place::Target(target)
+        } else {
+            Place::Destination(destination.0)
+        }
+    }
+
+    fn kind_of(&self, destination: DestinationNo) -> &'a crate::scenario::Kind {
+        &self.scenario.kinds[self.layout.destinations[destination.0].kind]
+    }
+
+    /// Plays until every first try has its end.
+    pub fn play(mut self) -> Report {
+        for n in 0..self.stations.len() {
+            self.start(ForwarderNo(n));
+        }
+        for program in 0..self.scenario.programs.len() {
+            let first = self.next_arrival(program);
+            self.agenda.enter(first, Event::Arrive { program });
+        }
+        for (n, trouble) in self.scenario.troubles.iter().enumerate() {
+            self.agenda.enter(trouble.at.0, Event::TroubleBegins(n));
+            self.agenda.enter(trouble.ends(), Event::TroubleEnds(n));
+        }
+        while let Some((at, event)) = self.agenda.pop() {
+            let over = self.arrivals_over == self.scenario.programs.len() && self.open == 0;
+            if over && at >= self.scenario.lasts.0 {
+                break;
+            }
+            self.handle(event);
+        }
+        self.report()
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive { program } => self.arrive(program),
+            Event::Return(first_try) => self.come_again(first_try),
+            Event::Withdraw(envelope) => self.withdraw(envelope),
+            Event::Overdue(envelope) => self.overdue(envelope),
+            Event::Turn(forwarder, start) => self.turn(forwarder, start),
+            Event::Alarm(forwarder, start) => self.tell(forwarder, start, Notice::Alarm),
+            Event::Notice(forwarder, start, notice) => self.tell(forwarder, start, notice),
+            Event::ListDue(forwarder, changes) => self.list_due(forwarder, changes),
+            Event::Reach(call) => self.reach(call),
+            Event::NotConnected(call) => self.answer(call, Outcome::NoConnection),
+            Event::Done(target, life, call) => self.done(target, life, call),
+            Event::Answer(call, outcome) => self.answer(call, outcome),
+            Event::TimeOut(call, part) => self.stop_waiting(call, part, Outcome::TimedOut),
+            Event::ProbeReaches(forwarder, start, target) => self.probe_reaches(forwarder, start, target),
+            Event::TroubleBegins(n) => self.trouble_begins(n),
+            Event::TroubleEnds(n) => self.trouble_ends(n),
+            Event::Risen(target) => self.risen(target),
+        }
+    }
+
+    fn report(self) -> Report {
+        let (rules_broken, broken) = self.oracles.verdict();
+        let account = &self.account;
+        let part = |name: String, credit: crate::account::Credit| Part {
+            name,
+            asked: rounded(credit.asked),
+            share: rounded(credit.share()),
+        };
+        let categories: Vec<Part> = (self.scenario.categories.iter().enumerate())
+            .map(|(n, c)| part(c.name.clone(), account.category(n)))
+            .collect();
+        let programs = (self.scenario.programs.iter().enumerate())
+            .map(|(n, p)| part(p.name.clone(), account.program(n)));
+        let lost = |n: &usize| account.destination(*n).asked - account.destination(*n).earned;
+        let mut worst: Vec<usize> = (0..self.layout.destinations.len()).collect();
+        worst.sort_by(|a, b| lost(b).total_cmp(&lost(a)).then(a.cmp(b)));
+        let destination = |n: &usize| {
+            let kind = &self.scenario.kinds[self.layout.destinations[*n].kind].name;
+            part(format!("{n} ({kind})"), account.destination(*n))
+        };
+        let watched = account.loads.iter().enumerate().map(|(n, loads)| Watched {
+            destination: n,
+            kind: self.scenario.kinds[self.layout.destinations[n].kind].name.clone(),
+            limit: self.layout.destinations[n].gate.per_s().map(rounded),
+            seconds: loads.clone(),
+        });
+        let latency = account.latency();
+        let tries = account.first_tries().max(1) as f64;
+        let slots = self.scenario.fleet.slots as f64 * self.scenario.fleet.forwarders as f64;
+        let seconds = account.seconds.iter().map(|s| {
+            let credit =
+                crate::account::Credit { asked: rounded(s.credit.asked), earned: rounded(s.credit.earned) };
+            crate::account::Second { credit, ..*s }
+        });
+        Report {
+            scenario: self.scenario.name.clone(),
+            policy: self.name.to_owned(),
+            seed: self.seed,
+            credit: rounded(account.whole().share()),
+            credit_worst_span: rounded(account.worst_span(WORST_SPAN)),
+            credit_worst_category: categories.iter().map(|c| c.share).fold(1.0, f64::min),
+            first_tries: account.first_tries() as u64,
+            envelopes: self.envelopes.len() as u64,
+            programs: programs.collect(),
+            destinations: worst.iter().take(2 * WATCHED).map(destination).collect(),
+            ends: account.ends,
+            dispatches: account.dispatches,
+            latency_ms: Latency {
+                p50: latency.value_at_quantile(0.5),
+                p90: latency.value_at_quantile(0.9),
+                p99: latency.value_at_quantile(0.99),
+                worst: latency.max(),
+            },
+            dispatches_per_try: rounded(account.dispatches.all as f64 / tries),
+            refusals_per_try: rounded(account.dispatches.full as f64 / tries),
+            work_wasted: rounded(1.0 - account.work_useful / account.work_done.max(1e-9)),
+            slots_used: rounded(account.slot_seconds / (slots * self.scenario.lasts.seconds())),
+            new_connections_per_try: rounded(account.new_connections as f64 / tries),
+            repeats_applied: account.repeats_applied,
+            falls: account.falls,
+            rules_broken,
+            broken,
+            seconds: seconds.collect(),
+            watched: watched.collect(),
+            latency_steps: account.latency_steps(),
+            ran_s: rounded(self.agenda.now().as_secs_f64()),
+            events: self.agenda.entered(),
+            turns: self.turns,
+            categories,
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/world/targets.rs
@@ -0,0 +1,396 @@
+//! What happens to a call at its target.
+
+use std::time::Duration;
+
+use reeddock::{Effect, Outcome};
+
+use super::forwarders::Notice;
+use super::{Event, World};
+use crate::figure::to_span;
+use crate::layout::{one_way, ForwarderNo, TargetNo};
+use crate::partner::CallNo;
+use crate::trouble::Trouble;
+
+/// Work and push of one more envelope within a call, against the call itself.
+const PER_EXTRA: f64 = 0.25;
+
+impl World<'_> {
+    /// Whether a trouble of some kind stands at a target.
+    pub(super) fn stands(&self, target: TargetNo, kind: impl Fn(&Trouble) -> bool) -> bool {
+        let here = &self.partners[target.0].troubles;
+        here.iter().any(|n| kind(&self.scenario.troubles[*n].what))
+    }
+
+    pub(super) fn refuses_connections(&self, target: TargetNo) -> bool {
+        let partner = &self.partners[target.0];
+        partner.gone
+            || partner.fallen(self.now())
+            || self.stands(target, |t| matches!(t, Trouble::Refused { .. }))
+    }
+
+    /// Times as long as usual that work takes at a target now.
+    pub(super) fn slowness(&self, target: TargetNo) -> f64 {
+        let partner = &self.partners[target.0];
+        let slow = partner.troubles.iter().map(|n| match &self.scenario.troubles[*n].what {
+            Trouble::Slow { times, .. } => times.get(),
+            _ => 1.0,
+        });
+        let pace = self.layout.destinations[partner.plan.destination.0].pace;
+        pace * slow.product::<f64>() / partner.warmth(self.now(), &self.scenario.returning)
+    }
+
+    /// For the ceiling: whether a call sent now would be taken, with so many more before it.
+    pub(super) fn would_take(&self, target: TargetNo, by: ForwarderNo, before: u32) -> bool {
+        let now = self.now();
+        let partner = &self.partners[target.0];
+        let troubled = self.stands(target, |t| {
+            matches!(
+                t,
+                Trouble::Silent { .. }
+                    | Trouble::Hang { .. }
+                    | Trouble::Shut { .. }
+                    | Trouble::FastErrors { .. }
+                    | Trouble::CategoryFails { .. }
+            )
+        });
+        if troubled || self.refuses_connections(target) {
+            return false;
+        }
+        let destination = partner.plan.destination;
+        let most = self.kind_of(destination).connections;
+        if most.is_some_and(|most| partner.connections >= most) && !partner.idle.contains_key(&by) {
+            return false;
+        }
+        let ahead = |t: &TargetNo| self.partners[t.0].on_the_way;
+        let on_the_way: u32 = self.destinations[destination.0].targets.iter().map(ahead).sum();
+        let shared = self.destinations[destination.0].gate.clone().room(now);
+        let own = partner.gate.clone().room(now);
+        let load = partner.busy + partner.queue.len() + (partner.on_the_way + before) as usize;
+        let bears = partner.plan.workers as f64 * partner.warmth(now, &self.scenario.returning);
+        shared - f64::from(on_the_way + before) >= 1.0
+            && own - f64::from(partner.on_the_way + before) >= 1.0
+            && (load as f64) < bears.max(1.0) + 0.5 * partner.plan.queue as f64
+    }
+
+    fn way_back(&mut self, call: CallNo) -> Duration {
+        let c = &self.calls[call.0];
+        let across = self.stations[c.forwarder.0].zone != self.partners[c.target.0].plan.zone;
+        one_way(self.scenario, across, &mut self.chances.network)
+    }
+
+    /// An answer leaves the target now.
+    fn reply(&mut self, call: CallNo, outcome: Outcome) {
+        if self.stands(self.calls[call.0].target, |t| matches!(t, Trouble::Silent { .. })) {
+            return;
+        }
+        let at = self.now() + self.way_back(call);
+        self.agenda.enter(at, Event::Answer(call, outcome));
+    }
+
+    /// Turned away, perhaps with the wait until there is room.
+    fn refuse(&mut self, call: CallNo, wait: Duration) {
+        let destination = self.partners[self.calls[call.0].target.0].plan.destination;
+        let told = self.kind_of(destination).told_waits.strikes(&mut self.chances.service);
+        if let Some(load) = self.account.load(destination, self.agenda.now()) {
+            load.refused += 1;
+        }
+        // An honest wait, from when the forwarder hears of it.
+        let wait = Some(wait).filter(|w| told && !w.is_zero());
+        self.reply(call, Outcome::Full(wait));
+    }
+
+    /// A target has been sent this much; where it is cold that may tip it over.
+    fn push(&mut self, target: TargetNo, work: f64, by: ForwarderNo) {
+        let now = self.now();
+        let returning = &self.scenario.returning;
+        let Some(fall) = self.partners[target.0].push(now, work, by, returning) else { return };
+        self.account.falls += 1;
+        self.oracles.fell(now, target, &fall.pushed, fall.budget);
+        let until = now + returning.stays_down.0;
+        self.partners[target.0].fallen_until = Some(until);
+        self.agenda.enter(until, Event::Risen(target));
+        self.outage_begins(target);
+        self.break_connections(target);
+    }
+
+    pub(super) fn risen(&mut self, target: TargetNo) {
+        self.partners[target.0].fallen_until = None;
+        self.outage_ends(target);
+    }
+
+    pub(super) fn outage_begins(&mut self, target: TargetNo) {
+        let partner = &mut self.partners[target.0];
+        partner.outages += 1;
+        if partner.outages == 1 {
+            self.oracles.outage_begins(target);
+        }
+    }
+
+    pub(super) fn outage_ends(&mut self, target: TargetNo) {
+        let now = self.now();
+        let partner = &mut self.partners[target.0];
+        partner.outages = partner.outages.saturating_sub(1);
+        if partner.outages == 0 {
+            partner.returned = Some(now);
+        }
+    }
+
+    /// All that is at a target or tied to it by a connection is lost.
+    pub(super) fn break_connections(&mut self, target: TargetNo) {
+        for call in self.partners[target.0].break_all() {
+            let at = self.now() + self.way_back(call);
+            self.agenda.enter(at, Event::Answer(call, Outcome::Broken));
+        }
+    }
+
+    pub(super) fn probe_reaches(&mut self, forwarder: ForwarderNo, start: u32, target: TargetNo) {
+        self.push(target, 1.0, forwarder);
+        let silent = self.stands(target, |t| matches!(t, Trouble::Silent { .. } | Trouble::Hang { .. }));
+        let well = !silent && self.partners[target.0].outages == 0 && !self.refuses_connections(target);
+        let limit = self.scenario.network.connect_within.0;
+        let after =
+            if silent { limit } else { self.scenario.network.one_way_ms.millis(&mut self.chances.network) };
+        let at = self.now() + after;
+        self.agenda.enter(at, Event::Notice(forwarder, start, Notice::Probed { target, well }));
+    }
+
+    pub(super) fn reach(&mut self, call: CallNo) {
+        let now = self.now();
+        let (target, forwarder) = (self.calls[call.0].target, self.calls[call.0].forwarder);
+        let destination = self.partners[target.0].plan.destination;
+        self.partners[target.0].on_the_way = self.partners[target.0].on_the_way.saturating_sub(1);
+        self.calls[call.0].arrived = true;
+        if self.refuses_connections(target) || self.calls[call.0].life != self.partners[target.0].life {
+            // The connection broke while it was on its way.
+            let at = now + self.way_back(call);
+            self.agenda.enter(at, Event::Answer(call, Outcome::Broken));
+            return;
+        }
+        if self.stands(target, |t| matches!(t, Trouble::Silent { .. })) {
+            return;
+        }
+        let extra = PER_EXTRA * (self.calls[call.0].parts.len() - 1) as f64;
+        let capacity = self.capacity_now(destination);
+        if let Some(load) = self.account.load(destination, now) {
+            load.calls += 1;
+            load.capacity = capacity;
+        }
+        self.push(target, 1.0 + extra, forwarder);
+        if self.refuses_connections(target) {
+            // This call was the one too many, and its connection is gone with the others.
+            let at = now + self.way_back(call);
+            self.agenda.enter(at, Event::Answer(call, Outcome::Broken));
+            return;
+        }
+        let opens = self.shut_until(target);
+        if let Some(until) = opens {
+            return self.refuse(call, until - now);
+        }
+        if self.fails_at_once(call, target) {
+            return self.reply(call, Outcome::Error);
+        }
+        let use_up = self.kind_of(destination).refused_use_up;
+        let passed = self.partners[target.0].gate.pass(now, use_up);
+        let passed = passed.and_then(|()| self.destinations[destination.0].gate.pass(now, use_up));
+        if let Err(wait) = passed {
+            return self.refuse(call, wait);
+        }
+        if self.stands(target, |t| matches!(t, Trouble::Hang { .. })) {
+            let partner = &mut self.partners[target.0];
+            if partner.stuck.len() < partner.plan.queue + partner.plan.workers {
+                partner.stuck.push(call);
+            }
+            return;
+        }
+        self.enqueue(call, target);
+    }
+
+    /// Calls a second that a destination's targets can serve now.
+    fn capacity_now(&self, destination: crate::layout::DestinationNo) -> f64 {
+        let one = |t: &TargetNo| {
+            let partner = &self.partners[t.0];
+            let up = partner.outages == 0 && !partner.gone;
+            let pace = self.layout.destinations[destination.0].pace;
+            if up {
+                partner.plan.capacity * pace / self.slowness(*t)
+            } else {
+                0.0
+            }
+        };
+        crate::report::rounded(self.destinations[destination.0].targets.iter().map(one).sum())
+    }
+
+    fn shut_until(&self, target: TargetNo) -> Option<Duration> {
+        let here = self.partners[target.0].troubles.iter().map(|n| &self.scenario.troubles[*n]);
+        here.filter(|t| matches!(t.what, Trouble::Shut { .. })).map(|t| t.ends()).max()
+    }
+
+    fn fails_at_once(&mut self, call: CallNo, target: TargetNo) -> bool {
+        let categories: Vec<usize> = self.calls[call.0]
+            .parts
+            .iter()
+            .map(|(e, _)| self.tries[self.envelopes[e.0].first_try.0].category)
+            .collect();
+        let mut fails = false;
+        for n in self.partners[target.0].troubles.clone() {
+            match &self.scenario.troubles[n].what {
+                Trouble::FastErrors { share, .. } => fails |= share.strikes(&mut self.chances.service),
+                Trouble::CategoryFails { category, .. } => {
+                    fails |= categories.iter().any(|c| self.scenario.categories[*c].name == *category);
+                }
+                _ => {}
+            }
+        }
+        fails
+    }
+
+    fn enqueue(&mut self, call: CallNo, target: TargetNo) {
+        let partner = &mut self.partners[target.0];
+        if partner.busy < partner.plan.workers {
+            self.begin_work(call, target);
+        } else if partner.queue.len() < partner.plan.queue {
+            partner.queue.push_back(call);
+        } else {
+            let room_in = to_span(1.0 / partner.plan.capacity.max(1e-6));
+            self.refuse(call, room_in);
+        }
+    }
+
+    fn begin_work(&mut self, call: CallNo, target: TargetNo) {
+        let now = self.now();
+        let each =
+            self.calls[call.0].parts.iter().map(|(e, _)| self.tries[self.envelopes[e.0].first_try.0].work);
+        let works: Vec<f64> = each.collect();
+        let longest = works.iter().copied().fold(0.0, f64::max);
+        let mut work = longest + PER_EXTRA * (works.iter().sum::<f64>() - longest);
+        work *= self.slowness(target);
+        for n in self.partners[target.0].troubles.clone() {
+            if let Trouble::HeavyTail { share, times, .. } = &self.scenario.troubles[n].what {
+                let long = share.strikes(&mut self.chances.service);
+                let drawn = times.draw(&mut self.chances.service);
+                if long {
+                    work *= drawn.max(1.0);
+                }
+            }
+        }
+        let partner = &mut self.partners[target.0];
+        partner.busy += 1;
+        partner.serving.push(call);
+        let life = partner.life;
+        self.calls[call.0].work = work;
+        self.calls[call.0].served_from = Some(now);
+        let done = self.after_pauses(target, now, to_span(work));
+        self.agenda.enter(done, Event::Done(target, life, call));
+    }
+
+    /// When work that is begun now is done, where a target stands still now and then.
+    fn after_pauses(&self, target: TargetNo, now: Duration, work: Duration) -> Duration {
+        let mut done = now + work;
+        for n in &self.partners[target.0].troubles {
+            let scheduled = &self.scenario.troubles[*n];
+            let Trouble::Pauses { each_s, every_s, .. } = scheduled.what else { continue };
+            let mut begins = scheduled.at.0;
+            while begins < done && begins < scheduled.ends() {
+                let ends = begins + each_s.0;
+                if ends > now {
+                    done += ends - begins.max(now);
+                }
+                begins += every_s.0.max(Duration::from_millis(1));
+            }
+        }
+        done
+    }
+
+    pub(super) fn done(&mut self, target: TargetNo, life: u32, call: CallNo) {
+        if self.partners[target.0].life != life {
+            return;
+        }
+        let now = self.now();
+        let destination = self.partners[target.0].plan.destination;
+        let partner = &mut self.partners[target.0];
+        partner.busy = partner.busy.saturating_sub(1);
+        partner.serving.retain(|c| *c != call);
+        self.apply(call);
+        if let Some(load) = self.account.load(destination, now) {
+            load.served += 1;
+        }
+        if self.stands(target, |t| matches!(t, Trouble::Hang { .. })) {
+            self.partners[target.0].stuck_answers.push(call);
+        } else {
+            self.send_result(call);
+        }
+        self.take_next(target);
+    }
+
+    /// Work ends with an answer, or with a connection that breaks before it.
+    pub(super) fn send_result(&mut self, call: CallNo) {
+        let target = self.calls[call.0].target;
+        let mut lost = false;
+        for n in self.partners[target.0].troubles.clone() {
+            if let Trouble::AnswersLost { share, .. } = &self.scenario.troubles[n].what {
+                lost |= share.strikes(&mut self.chances.service);
+            }
+        }
+        self.reply(call, if lost { Outcome::Broken } else { Outcome::Completed });
+    }
+
+    pub(super) fn take_next(&mut self, target: TargetNo) {
+        while self.partners[target.0].busy < self.partners[target.0].plan.workers {
+            let Some(next) = self.partners[target.0].queue.pop_front() else { return };
+            if !self.calls[next.0].void {
+                self.begin_work(next, target);
+            }
+        }
+    }
+
+    /// The effects of a call's envelopes.
+    fn apply(&mut self, call: CallNo) {
+        let now = self.now();
+        let parts = self.calls[call.0].parts.clone();
+        let work = self.calls[call.0].work;
+        self.account.work_done += work;
+        let wanted = parts.iter().enumerate().any(|(part, _)| self.calls[call.0].waiting[part]);
+        if wanted {
+            self.account.work_useful += work;
+        }
+        for (envelope, _) in parts {
+            let first_try = self.envelopes[envelope.0].first_try;
+            let t = &mut self.tries[first_try.0];
+            t.applied += 1;
+            if t.applied > 1 && self.scenario.categories[t.category].effect() != Effect::Effectful {
+                self.account.repeats_applied += 1;
+            }
+            self.oracles.applied(now, envelope);
+        }
+    }
+
+    /// Nobody waits for a call any more. It may run on: what has begun does, what still queues by chance.
+    pub(super) fn abandon(&mut self, call: CallNo) {
+        let target = self.calls[call.0].target;
+        let destination = self.partners[target.0].plan.destination;
+        let runs_on = self.kind_of(destination).runs_on.strikes(&mut self.chances.service);
+        let c = &mut self.calls[call.0];
+        if c.served_from.is_none() && !runs_on {
+            c.void = true;
+        }
+        if std::mem::take(&mut c.connected) && c.life == self.partners[target.0].life {
+            let partner = &mut self.partners[target.0];
+            partner.connections = partner.connections.saturating_sub(1);
+        }
+    }
+
+    /// What a hang held back goes on: answers first, then the calls that it took.
+    pub(super) fn unstick(&mut self, target: TargetNo) {
+        if self.stands(target, |t| matches!(t, Trouble::Hang { .. })) {
+            return;
+        }
+        for call in std::mem::take(&mut self.partners[target.0].stuck_answers) {
+            self.send_result(call);
+        }
+        for call in std::mem::take(&mut self.partners[target.0].stuck) {
+            if !self.calls[call.0].void {
+                self.enqueue(call, target);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,149 @@
+//! The program `reeddock-lab`. All figures that it prints are emulated.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Args, Parser, Subcommand};
+use reeddock_lab::{Comparison, Fault, Lab, Policies, Search, Setting, Sweep};
+
+/// Plays fleets of forwarders in simulated time and says what they earn, cost and break.
+#[derive(Parser)]
+#[command(name = "reeddock-lab", version)]
+struct Line {
+    /// Results as JSON, for machines; progress goes to standard error in any case.
+    #[arg(long, global = true)]
+    json: bool,
+    /// Threads for runs side by side; all cores where it is left out. Results do not depend on it.
+    #[arg(long, global = true, value_name = "N")]
+    threads: Option<usize>,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play one scenario once.
+    Run {
+        scenario: PathBuf,
+        #[command(flatten)]
+        one: One,
+    },
+    /// Play one scenario under several policies, on the same days.
+    Compare {
+        scenario: PathBuf,
+        /// Names joined by commas: module, one-try, back-off, breaker, ceiling.
+        #[arg(long, default_value = "module,one-try,back-off,breaker,ceiling")]
+        policies: Policies,
+        #[command(flatten)]
+        many: Many,
+    },
+    /// Play one scenario with values put in the place of those that it has.
+    Sweep {
+        scenario: PathBuf,
+        /// A place in the scenario and the values to put there; may stand several times.
+        #[arg(long = "set", value_name = "KEY=V1,V2", required = true)]
+        settings: Vec<Setting>,
+        #[arg(long, default_value = "module")]
+        policies: Policies,
+        #[command(flatten)]
+        many: Many,
+    },
+    /// Draw scenarios and look for a broken rule, or for credit far under what the ceiling earns.
+    Search {
+        #[arg(long, default_value_t = 10.0)]
+        minutes: f64,
+        /// Draws of one seed are the same; how many are reached depends on the machine.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Where what is found is put, each as a scenario that replays it.
+        #[arg(long, default_value = "found")]
+        out: PathBuf,
+        /// So many of the widest distances are shrunk and kept, beside every broken rule.
+        #[arg(long, default_value_t = 5)]
+        keep: usize,
+    },
+    /// Play what a search found, and say whether it is still seen.
+    Replay { file: PathBuf },
+    /// One HTML page with plots of the results in a folder.
+    Report {
+        folder: PathBuf,
+        /// The page; FOLDER/report.html where it is left out.
+        #[arg(long)]
+        to: Option<PathBuf>,
+    },
+}
+
+#[derive(Args)]
+struct One {
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value = "module")]
+    policy: Policies,
+    /// Keep the result in this folder, for `report`.
+    #[arg(long, value_name = "FOLDER")]
+    out: Option<PathBuf>,
+}
+
+#[derive(Args)]
+struct Many {
+    /// Days, each drawn by a seed of its own, from 1 up.
+    #[arg(long, default_value_t = 5)]
+    seeds: u64,
+    /// Keep the result in this folder, for `report`.
+    #[arg(long, value_name = "FOLDER")]
+    out: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).init();
+    let line = Line::parse();
+    let lab = match Lab::with_threads(line.threads) {
+        Ok(lab) => lab,
+        Err(fault) => return told(&fault),
+    };
+    match lab_command(&lab, line.command, line.json) {
+        Ok(sound) => sound,
+        Err(fault) => told(&fault),
+    }
+}
+
+fn told(fault: &Fault) -> ExitCode {
+    eprintln!("reeddock-lab: {fault}");
+    ExitCode::from(2)
+}
+
+fn lab_command(lab: &Lab, command: Command, json: bool) -> Result<ExitCode, Fault> {
+    match command {
+        Command::Run { scenario, one } => {
+            let result = lab.run(&scenario, one.seed, &one.policy)?;
+            result.keep(one.out.as_deref())?;
+            result.print(json)
+        }
+        Command::Compare { scenario, policies, many } => {
+            let result = lab.compare(&scenario, &Comparison { policies, seeds: many.seeds })?;
+            result.keep(many.out.as_deref())?;
+            result.print(json)
+        }
+        Command::Sweep { scenario, settings, policies, many } => {
+            let result = lab.sweep(&scenario, &Sweep { settings, policies, seeds: many.seeds })?;
+            result.keep(many.out.as_deref())?;
+            result.print(json)
+        }
+        Command::Search { minutes, seed, out, keep } => {
+            let most = 24.0 * 60.0;
+            if !(minutes > 0.0 && minutes <= most) {
+                return Err(Fault::line(format!("--minutes is {minutes}: expected over 0, {most} at most")));
+            }
+            let lasts = Duration::from_secs_f64(minutes * 60.0);
+            lab.search(&Search { lasts, seed, out, keep })?.print(json)
+        }
+        Command::Replay { file } => lab.replay(&file)?.print(json),
+        Command::Report { folder, to } => {
+            let to = to.unwrap_or_else(|| folder.join("report.html"));
+            let plots = reeddock_lab::page(&folder, &to)?;
+            println!("{}: {plots} plots", to.display());
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -11,7 +11,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::chance::Chance;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
 use crate::host::*;
 use crate::state::*;
 
@@ -442,7 +444,7 @@
         let rates: Vec<f64> = able.iter().map(rate).collect();
         let total: f64 = rates.iter().sum();
         let mut draw = || {
-            let mut left = self.chance.fraction() * total;
+            let mut left = self.chance.random::<f64>() * total;
             let passed = rates.iter().position(|rate| {
                 left -= rate;
                 left < 0.0
@@ -822,7 +824,7 @@
 impl Forwarder {
     /// A new instance, which knows the terms and nothing else.
     pub fn open(now: Duration, terms: Terms, host: &mut dyn Host) -> Forwarder {
-        let chance = Chance::new(terms.seed);
+        let chance = Pcg32::seed_from_u64(terms.seed);
         let card = RateCard::derive(terms);
         if card.ask_within.is_some() {
             host.subscribe(true);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,7 +76,6 @@
 //! forwarder.turn(later, &mut host);
 //! ```
 
-pub mod chance;
 pub mod control;
 pub mod host;
 pub mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,7 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use crate::chance::Chance;
+use rand_pcg::Pcg32;
+
 use crate::host::{
     DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, Listing, Outcome, PeerId, Standing, TargetId,
 };
@@ -183,7 +184,8 @@
 /// One instance of the decision module.
 pub struct Forwarder {
     pub card: RateCard,
-    pub chance: Chance,
+    /// Started from the seed that the host hands in, so that the same seed always draws alike.
+    pub chance: Pcg32,
     pub envelopes: BTreeMap<EnvelopeId, Envelope>,
     pub dispatches: BTreeMap<(EnvelopeId, DispatchNo), Dispatch>,
     /// Calls out, with the dispatches in each that have no outcome yet.
@@ -212,7 +214,7 @@
 }
 
 impl Forwarder {
-    pub(crate) fn new(card: RateCard, chance: Chance, tenants: Vec<Tenant>, now: Duration) -> Forwarder {
+    pub(crate) fn new(card: RateCard, chance: Pcg32, tenants: Vec<Tenant>, now: Duration) -> Forwarder {
         let crowds = vec![0.0; card.kinds.len()];
         Forwarder {
             card,
