--- a/crates/emulator/src/account.rs
+++ b/crates/emulator/src/account.rs
@@ -1,6 +1,5 @@
 //! Credit as the operators count it, and what it cost: kept as the run goes, read once at its end.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -263,8 +262,8 @@
         &self.latency
     }
 
-    /// Counts of latencies in milliseconds, by the upper end of their step.
-    pub fn latency_steps(&self) -> BTreeMap<u64, u64> {
+    /// Counts of latencies in milliseconds, after the upper end of their step.
+    pub fn latency_steps(&self) -> Vec<(u64, u64)> {
         self.latency.iter_recorded().map(|v| (v.value_iterated_to(), v.count_at_value())).collect()
     }
 }
--- a/crates/emulator/src/oracles.rs
+++ b/crates/emulator/src/oracles.rs
@@ -438,11 +438,13 @@
     pub fn killed(&mut self, forwarder: ForwarderNo, ledger: bool) {
         self.lists[forwarder.0].clear();
         self.waits.retain(|(f, _), _| *f != forwarder);
-        if !ledger {
-            self.lines.retain(|(f, _), _| *f != forwarder);
-            for record in self.records.iter_mut().filter(|r| r.forwarder == forwarder) {
-                record.void |= record.answer.is_none();
-            }
+        let records = &mut self.records;
+        for record in records.iter_mut().filter(|r| r.forwarder == forwarder) {
+            record.void |= !ledger || record.answer.is_some();
+        }
+        // The rules bind a start to what it took on, and to what its ledger still holds.
+        for (_, line) in self.lines.iter_mut().filter(|((f, _), _)| *f == forwarder) {
+            line.retain(|e| !records[e.0].void);
         }
     }
 
--- a/crates/emulator/src/partner.rs
+++ b/crates/emulator/src/partner.rs
@@ -81,6 +81,21 @@
         self.fallen_until.is_some_and(|until| now < until)
     }
 
+    /// Work that it bears within the span that counts, as warm as it is now.
+    fn budget(&self, now: Duration, terms: &Returning) -> f64 {
+        let span = terms.tip_after.seconds();
+        terms.fall_multiple.get() * self.warmth(now, terms) * self.plan.capacity * span
+    }
+
+    /// Work that it can be sent now without falling over.
+    pub fn push_room(&self, now: Duration, terms: &Returning) -> f64 {
+        if self.warmth(now, terms) >= 1.0 {
+            return f64::MAX;
+        }
+        let recent = self.pushed.iter().filter(|p| now.saturating_sub(p.0) <= terms.tip_after.0);
+        self.budget(now, terms) - recent.map(|p| p.1).sum::<f64>()
+    }
+
     /// Work has reached it. While it is cold, more than a multiple of what it can do within a span tips it.
     pub fn push(&mut self, now: Duration, work: f64, by: ForwarderNo, terms: &Returning) -> Option<Fall> {
         let warmth = self.warmth(now, terms);
--- a/crates/emulator/src/policies/desk.rs
+++ b/crates/emulator/src/policies/desk.rs
@@ -26,31 +26,39 @@
     pub dispatches: u32,
     pub not_before: Duration,
     out: BTreeSet<DispatchNo>,
-    /// Where each dispatch went, and when.
-    sent: Vec<(TargetId, Duration)>,
+    /// Where each dispatch went, when, and in which call.
+    sent: Vec<(TargetId, Duration, u64)>,
     may_have_run: Option<Duration>,
 }
 
-pub struct Known {
-    pub destination: DestinationId,
+struct Left {
+    call: u64,
+    number: u64,
+    key: Option<KeyId>,
+}
+
+struct Known {
+    destination: DestinationId,
     standing: Standing,
     apart: bool,
+    batch: usize,
     wait_until: Duration,
-    pub calls_out: u32,
+}
+
+/// What a habit may look at when it picks.
+pub struct View<'v> {
+    /// Targets that the rules let the envelope go to.
+    pub able: &'v [TargetId],
+    /// Places left in calls that this turn has begun to fill.
+    pub forming: &'v BTreeMap<TargetId, usize>,
+    pub now: Duration,
+    pub sight: &'v dyn Sight,
 }
 
 /// How a baseline differs from the others.
 pub trait Habit: Send {
-    /// Which of these targets gets the envelope now; none: it stays.
-    fn pick(
-        &mut self,
-        envelope: &Held,
-        able: &[TargetId],
-        known: &BTreeMap<TargetId, Known>,
-        now: Duration,
-        sight: &dyn Sight,
-        chance: &mut Chance,
-    ) -> Option<TargetId>;
+    /// Which of the able targets gets the envelope now; none: it stays.
+    fn pick(&mut self, envelope: &Held, view: &View, chance: &mut Chance) -> Option<TargetId>;
     /// A dispatch has ended.
     fn ended(&mut self, target: TargetId, outcome: Outcome, now: Duration);
     /// After how long an envelope whose dispatch so ended may go again; none: never.
@@ -72,6 +80,8 @@
     terms: Terms,
     held: BTreeMap<u64, Held>,
     numbers: BTreeMap<EnvelopeId, u64>,
+    /// Dispatches that are out for envelopes that have left.
+    left: BTreeMap<(EnvelopeId, DispatchNo), Left>,
     /// Held and not out, in the order in which they were taken.
     waiting: VecDeque<u64>,
     known: BTreeMap<TargetId, Known>,
@@ -79,7 +89,9 @@
     waits: BTreeMap<DestinationId, Duration>,
     lines: BTreeMap<KeyId, VecDeque<u64>>,
     rests: BTreeMap<KeyId, (Duration, u64)>,
-    calls_out: usize,
+    /// Calls out, with the dispatches in each that have not ended.
+    calls: BTreeMap<u64, u32>,
+    call: u64,
     taken: u64,
     wake_at: Option<Duration>,
 }
@@ -92,12 +104,14 @@
             terms,
             held: BTreeMap::new(),
             numbers: BTreeMap::new(),
+            left: BTreeMap::new(),
             waiting: VecDeque::new(),
             known: BTreeMap::new(),
             waits: BTreeMap::new(),
             lines: BTreeMap::new(),
             rests: BTreeMap::new(),
-            calls_out: 0,
+            calls: BTreeMap::new(),
+            call: 0,
             taken: 0,
             wake_at: None,
         }
@@ -119,9 +133,31 @@
         let envelope = self.held.remove(&number)?;
         self.numbers.remove(&envelope.id);
         self.waiting.retain(|n| *n != number);
+        for no in &envelope.out {
+            let call = envelope.sent.get(no.0 as usize).map_or(0, |s| s.2);
+            let left = Left { call, number, key: envelope.key };
+            self.left.insert((envelope.id.clone(), *no), left);
+        }
+        self.leave_line(envelope.key, number);
         Some(envelope)
     }
 
+    /// Takes an envelope out of its key's line once it is over and nothing is out for it.
+    fn leave_line(&mut self, key: Option<KeyId>, number: u64) {
+        let open = self.held.contains_key(&number) || self.left.values().any(|l| l.number == number);
+        if let Some(line) = key.and_then(|k| self.lines.get_mut(&k)).filter(|_| !open) {
+            line.retain(|n| *n != number);
+        }
+    }
+
+    /// A key rests after an end that may still be running.
+    fn rest(&mut self, key: Option<KeyId>, number: u64, outcome: Outcome, now: Duration) {
+        let unsure = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff);
+        if let Some(key) = key.filter(|_| unsure) {
+            self.rests.insert(key, (now + self.terms.key_rest.unwrap_or_default(), number));
+        }
+    }
+
     fn give_up(&mut self, number: u64, now: Duration, host: &mut dyn Host) {
         let Some(envelope) = self.leave(number) else { return };
         let harmless = self.may_run_again(&envelope, now) && envelope.out.is_empty();
@@ -135,11 +171,6 @@
         for no in &envelope.out {
             host.call_off(&envelope.id, *no);
         }
-        if envelope.out.is_empty() {
-            if let Some(line) = envelope.key.and_then(|k| self.lines.get_mut(&k)) {
-                line.retain(|n| *n != number);
-            }
-        }
     }
 
     fn key_free(&self, number: u64, envelope: &Held, now: Duration) -> bool {
@@ -149,6 +180,16 @@
         first && rest.is_none_or(|(until, owner)| now >= *until || *owner == number)
     }
 
+    /// One dispatch of a call has ended.
+    fn close_part(&mut self, call: u64) {
+        if let Some(left) = self.calls.get_mut(&call) {
+            *left -= 1;
+            if *left == 0 {
+                self.calls.remove(&call);
+            }
+        }
+    }
+
     fn able(&self, envelope: &Held, now: Duration) -> Vec<TargetId> {
         let shared = self.waits.get(&envelope.destination).copied().unwrap_or_default();
         let open = |t: &Known| {
@@ -175,13 +216,14 @@
             self.known.values_mut().for_each(|t| t.standing = Standing::Gone);
         }
         for line in lines {
-            let apart = self.terms.kinds.iter().any(|k| k.0 == line.kind && k.1);
+            let kind = self.terms.kinds.iter().find(|k| k.0 == line.kind);
+            let (apart, batch) = kind.map_or((false, None), |k| (k.1, k.2));
             let known = self.known.entry(line.target).or_insert(Known {
                 destination: line.destination,
                 standing: line.standing,
                 apart,
+                batch: batch.unwrap_or(1).max(1) as usize,
                 wait_until: Duration::ZERO,
-                calls_out: 0,
             });
             known.standing = line.standing;
         }
@@ -222,7 +264,7 @@
         let rest = now + self.terms.key_rest.unwrap_or_default();
         let Some(envelope) = self.held.get_mut(&number) else { return };
         envelope.dispatches = past.len() as u32;
-        envelope.sent = past.iter().map(|p| (p.target, p.sent)).collect();
+        envelope.sent = past.iter().map(|p| (p.target, p.sent, 0)).collect();
         envelope.may_have_run = past.iter().filter(|p| !p.never_ran).map(|p| p.sent).min();
         if let (Some(key), Some(_)) = (envelope.key, envelope.may_have_run) {
             self.rests.insert(key, (rest, number));
@@ -242,20 +284,23 @@
         over: bool,
         host: &mut dyn Host,
     ) {
-        self.calls_out = self.calls_out.saturating_sub(1);
+        if let Some(left) = self.left.remove(&(id.clone(), no)) {
+            self.close_part(left.call);
+            self.rest(left.key, left.number, outcome, now);
+            self.leave_line(left.key, left.number);
+        }
         let Some(number) = self.numbers.get(id).copied() else { return };
         let Some(envelope) = self.held.get_mut(&number) else { return };
         envelope.out.remove(&no);
-        let Some((target, sent)) = envelope.sent.get(no.0 as usize).copied() else { return };
+        let Some((target, sent, call)) = envelope.sent.get(no.0 as usize).copied() else { return };
+        self.close_part(call);
+        let Some(envelope) = self.held.get_mut(&number) else { return };
         if !outcome.never_ran() {
             envelope.may_have_run = Some(envelope.may_have_run.map_or(sent, |first| first.min(sent)));
         }
-        if let (Some(key), Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff) = (envelope.key, outcome)
-        {
-            self.rests.insert(key, (now + self.terms.key_rest.unwrap_or_default(), number));
-        }
+        let key = envelope.key;
+        self.rest(key, number, outcome, now);
         if let Some(known) = self.known.get_mut(&target) {
-            known.calls_out = known.calls_out.saturating_sub(1);
             if let Outcome::Full(Some(wait)) = outcome {
                 let until = if known.apart {
                     &mut known.wait_until
@@ -267,9 +312,6 @@
         }
         self.habit.ended(target, outcome, now);
         if over {
-            if let Some(line) = envelope.key.and_then(|k| self.lines.get_mut(&k)) {
-                line.retain(|n| *n != number);
-            }
             self.leave(number);
             return;
         }
@@ -295,9 +337,6 @@
             for no in &envelope.out {
                 host.call_off(id, *no);
             }
-            if let Some(line) = envelope.key.and_then(|k| self.lines.get_mut(&k)) {
-                line.retain(|n| *n != number);
-            }
         }
     }
 
@@ -324,37 +363,45 @@
         }
         let slots = self.terms.slots.unwrap_or(u64::MAX) as usize;
         let mut order: Vec<(Duration, usize, u64)> = Vec::new();
-        if self.calls_out < slots {
+        if self.calls.len() < slots {
             let urgency = |n: &u64| self.held.get(n).map_or(Duration::MAX, |e| self.habit.urgency(e));
             order = self.waiting.iter().enumerate().map(|(place, n)| (urgency(n), place, *n)).collect();
             order.sort();
         }
+        // The call that this turn fills for each target, and the places left in it.
+        let mut numbers: BTreeMap<TargetId, u64> = BTreeMap::new();
+        let mut forming: BTreeMap<TargetId, usize> = BTreeMap::new();
         for (_, _, number) in order {
-            if self.calls_out >= slots {
-                break;
-            }
             let Some(envelope) = self.held.get(&number) else { continue };
             if now < envelope.not_before || !self.key_free(number, envelope, now) {
                 continue;
             }
-            let able = self.able(envelope, now);
+            let mut able = self.able(envelope, now);
+            if self.calls.len() >= slots {
+                able.retain(|t| forming.get(t).is_some_and(|places| *places > 0));
+            }
             if able.is_empty() {
                 continue;
             }
-            let pick = self.habit.pick(envelope, &able, &self.known, now, sight, &mut self.chance);
-            let Some(target) = pick else { continue };
+            let view = View { able: &able, forming: &forming, now, sight };
+            let Some(target) = self.habit.pick(envelope, &view, &mut self.chance) else { continue };
             let promised = self.terms.categories[envelope.category].promised.unwrap_or_default();
             let time_out = self.habit.time_out(promised).min(envelope.outer_limit - now);
             let Some(envelope) = self.held.get_mut(&number) else { continue };
             envelope.out.insert(DispatchNo(envelope.dispatches));
             envelope.dispatches += 1;
-            envelope.sent.push((target, now));
+            let places = forming.entry(target).or_default();
+            if *places == 0 {
+                self.call += 1;
+                numbers.insert(target, self.call);
+                *places = self.known.get(&target).map_or(1, |t| t.batch);
+            }
+            *places -= 1;
+            let call = numbers.get(&target).copied().unwrap_or_default();
+            *self.calls.entry(call).or_default() += 1;
+            envelope.sent.push((target, now, call));
             let id = envelope.id.clone();
             self.waiting.retain(|n| *n != number);
-            self.calls_out += 1;
-            if let Some(known) = self.known.get_mut(&target) {
-                known.calls_out += 1;
-            }
             host.dispatch(&id, target, time_out);
         }
         if let Some(at) = self.next_wake(now).filter(|at| self.wake_at.is_none_or(|w| *at < w || w <= now)) {
--- a/crates/emulator/src/policies/habits.rs
+++ b/crates/emulator/src/policies/habits.rs
@@ -6,15 +6,12 @@
 use rand::RngExt;
 use reeddock::{DestinationId, Outcome, TargetId};
 
-use super::desk::{Habit, Held, Known};
+use super::desk::{Habit, Held, View};
 use crate::figure::Chance;
-use crate::policy::Sight;
 
 /// Breakers open and room appears without anybody telling.
 const LOOK: Duration = Duration::from_millis(20);
 
-type Targets = BTreeMap<TargetId, Known>;
-
 fn any(able: &[TargetId], chance: &mut Chance) -> Option<TargetId> {
     (!able.is_empty()).then(|| able[chance.random_range(0..able.len())])
 }
@@ -23,16 +20,8 @@
 pub struct OneTry;
 
 impl Habit for OneTry {
-    fn pick(
-        &mut self,
-        _: &Held,
-        able: &[TargetId],
-        _: &Targets,
-        _: Duration,
-        _: &dyn Sight,
-        chance: &mut Chance,
-    ) -> Option<TargetId> {
-        any(able, chance)
+    fn pick(&mut self, _: &Held, view: &View, chance: &mut Chance) -> Option<TargetId> {
+        any(view.able, chance)
     }
     fn ended(&mut self, _: TargetId, _: Outcome, _: Duration) {}
     fn again(&mut self, _: &Held, outcome: Outcome, _: &mut Chance) -> Option<Duration> {
@@ -56,16 +45,8 @@
 pub struct BackOff;
 
 impl Habit for BackOff {
-    fn pick(
-        &mut self,
-        _: &Held,
-        able: &[TargetId],
-        _: &Targets,
-        _: Duration,
-        _: &dyn Sight,
-        chance: &mut Chance,
-    ) -> Option<TargetId> {
-        any(able, chance)
+    fn pick(&mut self, _: &Held, view: &View, chance: &mut Chance) -> Option<TargetId> {
+        any(view.able, chance)
     }
     fn ended(&mut self, _: TargetId, _: Outcome, _: Duration) {}
     fn again(&mut self, envelope: &Held, _: Outcome, chance: &mut Chance) -> Option<Duration> {
@@ -94,15 +75,8 @@
 const OPEN_FOR: Duration = Duration::from_secs(5);
 
 impl Habit for Breaker {
-    fn pick(
-        &mut self,
-        envelope: &Held,
-        able: &[TargetId],
-        _: &Targets,
-        now: Duration,
-        _: &dyn Sight,
-        _: &mut Chance,
-    ) -> Option<TargetId> {
+    fn pick(&mut self, envelope: &Held, view: &View, _: &mut Chance) -> Option<TargetId> {
+        let (able, now) = (view.able, view.now);
         let round = self.rounds.entry(envelope.destination).or_default();
         for step in 0..able.len() {
             let target = able[(*round + step) % able.len()];
@@ -150,21 +124,18 @@
 }
 
 impl Habit for Ceiling {
-    fn pick(
-        &mut self,
-        envelope: &Held,
-        able: &[TargetId],
-        _: &Targets,
-        now: Duration,
-        sight: &dyn Sight,
-        _: &mut Chance,
-    ) -> Option<TargetId> {
+    fn pick(&mut self, envelope: &Held, view: &View, _: &mut Chance) -> Option<TargetId> {
+        let (able, now, sight) = (view.able, view.now, view.sight);
+        let joins = |t: &&TargetId| view.forming.get(*t).is_some_and(|places| *places > 0);
+        if let Some(target) = able.iter().find(joins) {
+            return Some(*target);
+        }
         if now != self.at {
             self.fresh.clear();
             self.at = now;
         }
         let fresh = self.fresh.entry(envelope.destination).or_default();
-        let open = able.iter().filter(|t| sight.would_take(**t, *fresh));
+        let open = able.iter().filter(|t| sight.would_take(**t, envelope.category, *fresh));
         let cost = |t: &TargetId| (sight.burden(*t) + 1.0) * sight.slowness(*t);
         let pick = open.min_by(|a, b| cost(a).total_cmp(&cost(b))).copied();
         *fresh += u32::from(pick.is_some());
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -31,9 +31,9 @@
 
 /// The true state of the world. Only the ceiling may look; what a forwarder can know does not come by here.
 pub trait Sight {
-    /// Whether a call that is sent now would be taken and answered, with those on their way and so many more
-    /// to its destination before it.
-    fn would_take(&self, target: TargetId, before: u32) -> bool;
+    /// Whether a call with an envelope of this category, sent now, would be taken and answered and push nothing
+    /// over, with those on their way and so many more to its destination before it.
+    fn would_take(&self, target: TargetId, category: usize, before: u32) -> bool;
     /// Work that it has taken and not finished, for each of its workers.
     fn burden(&self, target: TargetId) -> f64;
     /// Times as long as usual that work takes there now.
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -1,7 +1,5 @@
 //! What a run came to. All figures are emulated.
 
-use std::collections::BTreeMap;
-
 use serde::{Deserialize, Serialize};
 
 use crate::account::{Dispatches, Ends, Load, Second};
@@ -53,8 +51,10 @@
     pub broken: Vec<Broken>,
     pub seconds: Vec<Second>,
     pub watched: Vec<Watched>,
-    /// Counts by the upper end of each step, in milliseconds.
-    pub latency_steps: BTreeMap<u64, u64>,
+    /// Upper end of each step in milliseconds, and its count.
+    pub latency_steps: Vec<(u64, u64)>,
+    /// First tries without an end; one would be a fault of the emulator.
+    pub unfinished: usize,
     /// Seconds that the run went on for, and events that it took.
     pub ran_s: f64,
     pub events: u64,
--- a/crates/emulator/src/world/clients.rs
+++ b/crates/emulator/src/world/clients.rs
@@ -194,7 +194,9 @@
     }
 
     pub(super) fn withdraw(&mut self, envelope: EnvelopeNo) {
-        if !self.envelopes[envelope.0].over {
+        // One that is down hears nothing, and goes on with what its ledger holds.
+        let owner = self.envelopes[envelope.0].forwarder;
+        if !self.envelopes[envelope.0].over && self.stations[owner.0].runs() {
             self.oracles.answered(self.now(), envelope, Answer::Withdrawn);
             self.account.ends.withdrawn += 1;
             self.gone(envelope);
--- a/crates/emulator/src/world/forwarders.rs
+++ b/crates/emulator/src/world/forwarders.rs
@@ -46,6 +46,8 @@
     /// The call it went with, and its place in it; none where it never left.
     pub call: Option<(CallNo, usize)>,
     pub outcome: Option<Outcome>,
+    /// The forwarder has heard the outcome, and its ledger with it.
+    pub told: bool,
 }
 
 /// One call, with all that travels in it.
@@ -177,8 +179,8 @@
 struct Eye<'w, 'a>(&'w World<'a>, ForwarderNo);
 
 impl Sight for Eye<'_, '_> {
-    fn would_take(&self, target: TargetId, before: u32) -> bool {
-        target_no(target).is_some_and(|t| self.0.would_take(t, self.1, before))
+    fn would_take(&self, target: TargetId, category: usize, before: u32) -> bool {
+        target_no(target).is_some_and(|t| self.0.would_take(t, category, self.1, before))
     }
     fn burden(&self, target: TargetId) -> f64 {
         let Some(partner) = target_no(target).and_then(|t| self.0.partners.get(t.0)) else { return f64::MAX };
@@ -252,7 +254,7 @@
         for envelope in owed {
             let e = &mut self.envelopes[envelope.0];
             e.over = true;
-            let unsure = e.dispatches.iter().any(|s| s.outcome.is_none_or(|o| !proves_unrun(o)));
+            let unsure = e.dispatches.iter().any(|s| !s.told || s.outcome.is_none_or(|o| !proves_unrun(o)));
             let first_try = e.first_try;
             let effect = self.scenario.categories[self.tries[first_try.0].category].effect();
             if unsure && effect != reeddock::Effect::Pure {
@@ -410,7 +412,7 @@
                 let past = |s: &Sent| Past {
                     target: target_id(s.target),
                     sent: s.at,
-                    never_ran: s.outcome.is_some_and(proves_unrun),
+                    never_ran: s.told && s.outcome.is_some_and(proves_unrun),
                 };
                 let past: Vec<Past> = e.dispatches.iter().map(past).collect();
                 policy.recall(now, &e.id, &past, host);
@@ -418,6 +420,9 @@
             Notice::Ended { envelope, no, outcome, over, place } => {
                 let target = self.envelopes[envelope.0].dispatches.get(no).map(|s| s.target);
                 self.oracles.told_end(now, envelope, no, outcome, place);
+                if let Some(sent) = self.envelopes[envelope.0].dispatches.get_mut(no) {
+                    sent.told = true;
+                }
                 if let Some(target) = target {
                     let failed = !matches!(
                         outcome,
@@ -624,7 +629,13 @@
         let fleet = &self.scenario.fleet;
         let free = joins.is_some() || self.stations[forwarder.0].calls_out < fleet.slots as usize;
         if e.over || no >= fleet.dispatch_cap as usize || !free {
-            e.dispatches.push(Sent { target, at: now, call: None, outcome: Some(Outcome::Unsent) });
+            e.dispatches.push(Sent {
+                target,
+                at: now,
+                call: None,
+                outcome: Some(Outcome::Unsent),
+                told: false,
+            });
             self.account.dispatches.unsent += 1;
             let place = self.place_of(target);
             let over = self.envelopes[envelope.0].over;
@@ -657,7 +668,7 @@
         self.calls[call.0].parts.push((envelope, no));
         self.calls[call.0].waiting.push(true);
         let e = &mut self.envelopes[envelope.0];
-        e.dispatches.push(Sent { target, at: now, call: Some((call, part)), outcome: None });
+        e.dispatches.push(Sent { target, at: now, call: Some((call, part)), outcome: None, told: false });
         // A longer one would outlive what is owed.
         let time_out = time_out.min(e.outer_limit.saturating_sub(now));
         self.agenda.enter(now + time_out, Event::TimeOut(call, part));
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -282,6 +282,7 @@
             seconds: seconds.collect(),
             watched: watched.collect(),
             latency_steps: account.latency_steps(),
+            unfinished: self.open,
             ran_s: rounded(self.agenda.now().as_secs_f64()),
             events: self.agenda.entered(),
             turns: self.turns,
--- a/crates/emulator/src/world/targets.rs
+++ b/crates/emulator/src/world/targets.rs
@@ -40,18 +40,13 @@
     }
 
     /// For the ceiling: whether a call sent now would be taken, with so many more before it.
-    pub(super) fn would_take(&self, target: TargetNo, by: ForwarderNo, before: u32) -> bool {
+    pub(super) fn would_take(&self, target: TargetNo, category: usize, by: ForwarderNo, before: u32) -> bool {
         let now = self.now();
         let partner = &self.partners[target.0];
-        let troubled = self.stands(target, |t| {
-            matches!(
-                t,
-                Trouble::Silent { .. }
-                    | Trouble::Hang { .. }
-                    | Trouble::Shut { .. }
-                    | Trouble::FastErrors { .. }
-                    | Trouble::CategoryFails { .. }
-            )
+        let name = &self.scenario.categories[category].name;
+        let troubled = self.stands(target, |t| match t {
+            Trouble::CategoryFails { category, .. } => category == name,
+            t => t.is_outage(),
         });
         if troubled || self.refuses_connections(target) {
             return false;
@@ -61,12 +56,18 @@
         if most.is_some_and(|most| partner.connections >= most) && !partner.idle.contains_key(&by) {
             return false;
         }
+        let returning = &self.scenario.returning;
+        let call = 1.0 + PER_EXTRA * f64::from(self.kind_of(destination).batch - 1);
+        let pushes = call * f64::from(partner.on_the_way + before + 1);
+        if partner.push_room(now, returning) < pushes {
+            return false;
+        }
         let ahead = |t: &TargetNo| self.partners[t.0].on_the_way;
         let on_the_way: u32 = self.destinations[destination.0].targets.iter().map(ahead).sum();
         let shared = self.destinations[destination.0].gate.clone().room(now);
         let own = partner.gate.clone().room(now);
         let load = partner.busy + partner.queue.len() + (partner.on_the_way + before) as usize;
-        let bears = partner.plan.workers as f64 * partner.warmth(now, &self.scenario.returning);
+        let bears = partner.plan.workers as f64 * partner.warmth(now, returning);
         shared - f64::from(on_the_way + before) >= 1.0
             && own - f64::from(partner.on_the_way + before) >= 1.0
             && (load as f64) < bears.max(1.0) + 0.5 * partner.plan.queue as f64
--- /dev/null
+++ b/crates/emulator/tests/emulator/main.rs
@@ -0,0 +1,5 @@
+//! The emulator and its oracles.
+
+mod rules;
+mod spoilt;
+mod worlds;
--- a/crates/emulator/tests/rules.rs
+++ b/crates/emulator/tests/emulator/rules.rs
@@ -1,11 +1,9 @@
 //! Each of the six rules has an oracle that speaks when the module is spoilt on purpose, and none that speaks
 //! when it is not.
 
-mod spoilt;
-
+use crate::spoilt::{Defect, Spoilt};
 use reeddock_emulator::oracles::Rule;
 use reeddock_emulator::{run_with, Report, Scenario};
-use spoilt::{Defect, Spoilt};
 
 /// Three forwarders, destinations with told waits, and room for each trouble.
 const WORLD: &str = r#"
--- a/crates/emulator/tests/spoilt/mod.rs
+++ b/crates/emulator/tests/emulator/spoilt.rs
@@ -23,6 +23,8 @@
     PushesReturning,
     /// Keys are not read.
     IgnoresOrder,
+    /// No defect, but each call is given just so long.
+    CutsShort(Duration),
 }
 
 pub struct Spoilt {
@@ -47,6 +49,7 @@
 
 impl Host for Tap<'_> {
     fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, time_out: Duration) {
+        let time_out = if let Defect::CutsShort(span) = self.1 { span } else { time_out };
         self.0.dispatch(envelope, target, time_out);
     }
     fn call_off(&mut self, envelope: &EnvelopeId, dispatch: DispatchNo) {
--- a/crates/lab/src/page.rs
+++ b/crates/lab/src/page.rs
@@ -88,9 +88,9 @@
 
 fn latencies(reports: &[Report]) -> std::result::Result<String, Fault> {
     let line = |r: &Report| {
-        let all: u64 = r.latency_steps.values().sum();
+        let all: u64 = r.latency_steps.iter().map(|s| s.1).sum();
         let mut sum = 0;
-        let point = |(ms, count): (&u64, &u64)| {
+        let point = |(ms, count): &(u64, u64)| {
             sum += count;
             ((*ms).max(1) as f64, sum as f64 / all.max(1) as f64)
         };
--- a/crates/lab/src/search.rs
+++ b/crates/lab/src/search.rs
@@ -2,9 +2,11 @@
 //! what breaks a rule or lies farthest under the ceiling is shrunk and kept as a file that replays it.
 
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use rayon::prelude::*;
+use rayon::BroadcastContext;
 use reeddock_emulator::oracles::Rule;
 use reeddock_emulator::scenario::Found;
 use reeddock_emulator::{run, Known, Scenario};
@@ -57,15 +59,18 @@
         let begun = Instant::now();
         let until = what.lasts.mul_f64(DRAWING);
         let bar = progress(until.as_secs().max(1), "search, seconds");
-        let chunk = self.pool().current_num_threads() as u64 * 4;
-        let mut all: Vec<Seen> = Vec::new();
-        let mut next = what.seed << 20;
-        while begun.elapsed() < until {
-            let seeds: Vec<u64> = (next..next + chunk).collect();
-            next += chunk;
-            all.extend(self.pool().install(|| seeds.into_par_iter().map(see).collect::<Vec<Seen>>()));
-            bar.set_position(begun.elapsed().as_secs());
-        }
+        let next = AtomicU64::new(what.seed << 20);
+        // Each thread takes the next seed until the time is up; which one took which is put out of sight.
+        let draws = |_: BroadcastContext<'_>| {
+            let mut seen = Vec::new();
+            while begun.elapsed() < until {
+                seen.push(see(next.fetch_add(1, Ordering::Relaxed)));
+                bar.set_position(begun.elapsed().as_secs());
+            }
+            seen
+        };
+        let mut all: Vec<Seen> = self.pool().broadcast(draws).into_iter().flatten().collect();
+        all.sort_by_key(|s| s.seed);
         bar.finish_and_clear();
 
         let mut wanted: Vec<(&Seen, Want, String)> = Vec::new();
--- a/crates/lab/src/shrink.rs
+++ b/crates/lab/src/shrink.rs
@@ -16,6 +16,8 @@
 
 /// Part of a distance that must be left.
 const DISTANCE_LEFT: f64 = 0.85;
+/// First tries under which a distance is chance.
+const LEAST_TRIES: u64 = 400;
 /// Candidates tried for one finding.
 const MOST_TRIED: usize = 120;
 
@@ -27,7 +29,8 @@
             Want::Broken(rule) => module.broken.iter().any(|b| b.rule == rule),
             Want::Distance(distance) => {
                 let ceiling = run(scenario, seed, Known::Ceiling);
-                ceiling.rules_broken == 0 && ceiling.credit - module.credit >= distance * DISTANCE_LEFT
+                module.first_tries >= LEAST_TRIES
+                    && ceiling.credit - module.credit >= distance * DISTANCE_LEFT
             }
         };
         seen.then_some(module)
--- /dev/null
+++ b/crates/lab/tests/experiments.rs
@@ -0,0 +1,112 @@
+//! Experiments of the laboratory, small.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use reeddock_emulator::{run, Known, Scenario};
+use reeddock_lab::{draw, shrink, Comparison, Lab, Policies, Setting, Sweep, Want};
+
+fn scenario() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios/first-morning.toml")
+}
+
+fn program(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_reeddock-lab")).args(arguments).output().unwrap()
+}
+
+#[test]
+fn a_sweep_gives_the_same_bytes_with_any_number_of_threads() {
+    let bytes = |threads| {
+        let sweep = Sweep {
+            settings: vec!["traffic.load=0.4,0.8".parse::<Setting>().unwrap(), "lasts_s=15".parse().unwrap()],
+            policies: "module,one-try".parse::<Policies>().unwrap(),
+            seeds: 2,
+        };
+        Lab::with_threads(Some(threads)).unwrap().sweep(&scenario(), &sweep).unwrap().to_json().unwrap()
+    };
+    let alone = bytes(1);
+    assert_eq!(alone, bytes(3));
+    assert!(alone.contains("\"values\":[\"0.8\",\"15\"]"), "{alone}");
+}
+
+#[test]
+fn drawn_scenarios_are_sound_and_read_as_written() {
+    for seed in 0..400 {
+        let drawn = draw(seed);
+        let read = Scenario::parse("drawn", &drawn.to_text(), &[]).unwrap_or_else(|e| panic!("{seed}: {e}"));
+        assert_eq!(read, drawn, "seed {seed}");
+    }
+}
+
+#[test]
+fn what_is_found_is_shrunk_and_replayed() {
+    // A distance to the ceiling that any scenario has which is worse than perfect.
+    let seed = (0..200)
+        .find(|seed| {
+            let drawn = draw(*seed);
+            let few = drawn.fleet.forwarders <= 3 && drawn.traffic.usual_per_s.get() < 60.0;
+            few && run(&drawn, *seed, Known::Ceiling).credit - run(&drawn, *seed, Known::Module).credit > 0.03
+        })
+        .expect("one of these days is worse than perfect");
+    let drawn = draw(seed);
+    let distance = run(&drawn, seed, Known::Ceiling).credit - run(&drawn, seed, Known::Module).credit;
+    let want = Want::Distance(distance);
+    let mut small = shrink(&drawn, seed, want);
+    assert!(want.seen(&small, seed).is_some(), "it still shows what was found");
+    assert!(small.to_text().len() < drawn.to_text().len());
+
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("found.toml");
+    small.found = Some(reeddock_emulator::scenario::Found {
+        seed,
+        rule: None,
+        credit: run(&small, seed, Known::Module).credit,
+        one_try: 0.0,
+        ceiling: run(&small, seed, Known::Ceiling).credit,
+    });
+    std::fs::write(&file, small.to_text()).unwrap();
+    let replayed = program(&["replay", file.to_str().unwrap()]);
+    let text = String::from_utf8(replayed.stdout).unwrap();
+    assert!(replayed.status.success() && text.contains("seen again"), "{text}");
+    // A rule that is not broken there is not seen, and the exit code says so.
+    small.found.as_mut().unwrap().rule = Some(reeddock_emulator::oracles::Rule::Interface);
+    std::fs::write(&file, small.to_text()).unwrap();
+    assert_eq!(program(&["replay", file.to_str().unwrap()]).status.code(), Some(1));
+}
+
+#[test]
+fn results_are_kept_and_plotted_on_one_page() {
+    let folder = tempfile::tempdir().unwrap();
+    let lab = Lab::with_threads(None).unwrap();
+    let policies: Policies = "module,ceiling".parse().unwrap();
+    let compared = lab.compare(&scenario(), &Comparison { policies, seeds: 1 }).unwrap();
+    compared.keep(Some(folder.path())).unwrap();
+    let page = folder.path().join("page.html");
+    let plots = reeddock_lab::page(folder.path(), &page).unwrap();
+    let text = std::fs::read_to_string(page).unwrap();
+    assert!(plots >= 4 && text.matches("<svg").count() == plots, "{plots} plots");
+    assert!(text.contains("emulated") && text.contains("first-morning"));
+}
+
+#[test]
+fn a_wrong_line_is_answered_with_one_line() {
+    let scenario = scenario();
+    let file = scenario.to_str().unwrap();
+    for (arguments, told) in [
+        (vec!["run", "none.toml"], "none.toml: cannot be read"),
+        (vec!["compare", file, "--policies", "modul"], "expected module, one-try"),
+        (vec!["sweep", file, "--set", "traffic.load"], "expected KEY=VALUE"),
+        (vec!["sweep", file, "--set", "traffic.load=high"], "traffic.load"),
+        (vec!["sweep", file, "--set", "kind.7.batch=2"], "kind.7.batch"),
+        (vec!["compare", file, "--seeds", "0"], "expected 1 seed or more"),
+        (vec!["search", "--minutes", "0"], "--minutes is 0"),
+        (vec!["replay", file], "expected a file that a search wrote"),
+        (vec!["report", env!("CARGO_MANIFEST_DIR")], "holds no results"),
+        (vec!["run", file, "--threads", "0"], "--threads is 0"),
+    ] {
+        let output = program(&arguments);
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}: {text}");
+        assert!(text.contains(told), "{arguments:?}: {text}");
+    }
+}
