--- a/crates/emulator/src/account.rs
+++ b/crates/emulator/src/account.rs
@@ -52,7 +52,7 @@
     pub calls: u32,
     pub refused: u32,
     pub served: u32,
-    /// Calls a second that it could serve, in the middle of that second.
+    /// Calls a second that it could serve when that second began.
     pub capacity: f64,
 }
 
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -47,6 +47,8 @@
     TroubleEnds(usize),
     /// What fell over comes back.
     Risen(TargetNo),
+    /// Once a second: what the watched destinations could serve.
+    Sample,
 }
 
 /// Streams of chance that decisions must not shift against each other.
@@ -90,6 +92,8 @@
     category_sums: Vec<f64>,
 }
 
+const SECOND: Duration = Duration::from_secs(1);
+
 fn sums(parts: impl Iterator<Item = f64>) -> Vec<f64> {
     let mut sum = 0.0;
     parts
@@ -185,6 +189,7 @@
             self.agenda.enter(trouble.at.0, Event::TroubleBegins(n));
             self.agenda.enter(trouble.ends(), Event::TroubleEnds(n));
         }
+        self.agenda.enter(Duration::ZERO, Event::Sample);
         while let Some((at, event)) = self.agenda.pop() {
             let over = self.arrivals_over == self.scenario.programs.len() && self.open == 0;
             if over && at >= self.scenario.lasts.0 {
@@ -214,6 +219,20 @@
             Event::TroubleBegins(n) => self.trouble_begins(n),
             Event::TroubleEnds(n) => self.trouble_ends(n),
             Event::Risen(target) => self.risen(target),
+            Event::Sample => self.sample(),
+        }
+    }
+
+    fn sample(&mut self) {
+        let now = self.now();
+        for n in (0..self.layout.destinations.len()).take(WATCHED).map(DestinationNo) {
+            let capacity = self.capacity_now(n);
+            if let Some(load) = self.account.load(n, now) {
+                load.capacity = capacity;
+            }
+        }
+        if now + SECOND < self.scenario.lasts.0 {
+            self.agenda.enter(now + SECOND, Event::Sample);
         }
     }
 
--- a/crates/lab/src/page.rs
+++ b/crates/lab/src/page.rs
@@ -66,7 +66,12 @@
                 .label(name)
                 .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], of.stroke_width(2)));
         }
-        chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::LowerLeft)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
         Ok(())
     })
 }
@@ -103,9 +108,10 @@
 }
 
 fn against_capacity(watched: &Watched) -> std::result::Result<String, Fault> {
+    let last = watched.seconds.iter().rposition(|l| l.capacity > 0.0).map_or(0, |n| n + 1);
+    let seconds = &watched.seconds[..last];
     let line = |name: &str, of: &dyn Fn(&reeddock_emulator::account::Load) -> f64| {
-        let points = watched.seconds.iter().enumerate().map(|(n, load)| (n as f64, of(load)));
-        (name.to_owned(), points.collect())
+        (name.to_owned(), seconds.iter().enumerate().map(|(n, load)| (n as f64, of(load))).collect())
     };
     let mut all: Vec<Line> = vec![
         line("calls", &|l| f64::from(l.calls)),
