--- a/crates/daemon/src/duties.rs
+++ b/crates/daemon/src/duties.rs
@@ -69,6 +69,7 @@
         known,
         terms: terms(seed.ok_or_else(|| missing("seed"))?, settings),
         tick: reach.tick.unwrap_or_default(),
+        sync: Default::default(),
         connect_within: reach.connect_within.unwrap_or(CONNECT_WITHIN),
         closed_after: reach.idle.unwrap_or(CLOSED_AFTER),
         leave_within: LEAVE_WITHIN,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,22 +1,24 @@
 //! The program `reeddock`: one forwarder on sockets.
 
 mod duties;
+mod owed;
 
-use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
+use owed::View;
+use reeddock_ledger::Sync;
 use tokio::signal::unix::{signal, SignalKind};
 use tracing::level_filters::LevelFilter;
 
 const HELP: &str = "\
 reeddock - delivers envelopes to other firms' systems
 
-usage: reeddock serve [--config FILE] [--state FOLDER] [--log LEVEL]
+usage: reeddock serve [--config FILE] [--state FOLDER] [--log LEVEL] [--sync WHEN]
        reeddock check [--config FILE]
-       reeddock ledger [--state FOLDER]
+       reeddock ledger [--state FOLDER] [--verify | --by KEY | --json]
        reeddock version
        reeddock help
 
@@ -26,12 +28,15 @@
 version   print the version
 
 FILE is the configuration, else $EDGE_CONFIG names it. FOLDER outlasts the process, else $EDGE_STATE names it.
+WHEN is never (usual: what is owed outlasts the process), each (it outlasts the machine before anything is
+answered), or a number of seconds (it does so at least that often).
+KEY is category, destination or age. --verify tells what is damaged, with exit code 1 if anything is.
 LEVEL is error, warn, info (usual) or debug; the log goes to standard error.
 ";
 
 fn main() -> ExitCode {
     match run() {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(fault) => {
             eprintln!("reeddock: {}", fault.replace('\n', " "));
             ExitCode::FAILURE
@@ -44,6 +49,23 @@
     config: Option<OsString>,
     state: Option<OsString>,
     level: LevelFilter,
+    sync: Sync,
+    view: View,
+}
+
+/// When the ledger is synced, as the command line has it.
+fn sync(word: &str) -> Result<Sync, String> {
+    match word {
+        "never" => Ok(Sync::Never),
+        "each" => Ok(Sync::Each),
+        seconds => {
+            let span = seconds.parse().ok().and_then(|s| Duration::try_from_secs_f64(s).ok());
+            let span = span.filter(|s| !s.is_zero() && *s <= Duration::from_secs(3600));
+            span.map(Sync::Every).ok_or_else(|| {
+                format!("--sync {word:?}: expected never, each, or seconds over 0 and 3600 at most")
+            })
+        }
+    }
 }
 
 impl Order {
@@ -58,33 +80,46 @@
     }
 }
 
-fn run() -> Result<(), String> {
+fn run() -> Result<ExitCode, String> {
     use lexopt::prelude::*;
     let mut words = lexopt::Parser::from_env();
     let mut command = None;
-    let mut order = Order { config: None, state: None, level: LevelFilter::INFO };
+    let mut order =
+        Order { config: None, state: None, level: LevelFilter::INFO, sync: Sync::Never, view: View::All };
     while let Some(word) = words.next().map_err(|e| e.to_string())? {
         match word {
             Value(word) if command.is_none() => command = Some(word.string().map_err(|e| e.to_string())?),
             Long("config") => order.config = Some(words.value().map_err(|e| e.to_string())?),
             Long("state") => order.state = Some(words.value().map_err(|e| e.to_string())?),
             Long("log") => order.level = words.value().and_then(|v| v.parse()).map_err(|e| e.to_string())?,
+            Long("sync") => {
+                order.sync = sync(&words.value().and_then(|v| v.string()).map_err(|e| e.to_string())?)?
+            }
+            Long("verify") => order.view = View::Verify,
+            Long("json") => order.view = View::Json,
+            Long("by") => {
+                let key = words.value().and_then(|v| v.string()).map_err(|e| e.to_string())?;
+                order.view = View::By(key.parse()?);
+            }
             Short('h') | Long("help") => command = Some("help".into()),
             Short('V') | Long("version") => command = Some("version".into()),
             other => return Err(other.unexpected().to_string()),
         }
     }
     match command.as_deref() {
-        Some("serve") => serve(order),
-        Some("check") => check(order),
-        Some("ledger") => ledger(order),
+        Some("serve") => serve(order).map(|()| ExitCode::SUCCESS),
+        Some("check") => check(order).map(|()| ExitCode::SUCCESS),
+        Some("ledger") => {
+            let sound = owed::tell(order.state()?.as_ref(), order.view)?;
+            Ok(ExitCode::from(u8::from(order.view == View::Verify && !sound)))
+        }
         Some("version") => {
             println!("reeddock {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
+            Ok(ExitCode::SUCCESS)
         }
         Some("help") => {
             print!("{HELP}");
-            Ok(())
+            Ok(ExitCode::SUCCESS)
         }
         Some(other) => Err(format!("no command {other:?}; see reeddock help")),
         None => Err("no command; see reeddock help".into()),
@@ -104,7 +139,8 @@
         let told = |kind| signal(kind).map_err(|e| format!("cannot wait for signals: {e}"));
         let (mut term, mut hangup) = (told(SignalKind::terminate())?, told(SignalKind::hangup())?);
         let (file, state) = (PathBuf::from(order.config()?), PathBuf::from(order.state()?));
-        let (post, moves, started) = duties::read(&file, state)?;
+        let (mut post, moves, started) = duties::read(&file, state)?;
+        post.sync = order.sync;
         let rereading = async {
             while hangup.recv().await.is_some() {
                 match duties::read(&file, PathBuf::new()) {
@@ -147,34 +183,3 @@
     println!("{limits:?}");
     Ok(())
 }
-
-fn ledger(order: Order) -> Result<(), String> {
-    let folder = order.state()?;
-    let (books, torn) = reeddock_ledger::look(folder.as_ref())
-        .map_err(|e| format!("cannot read the ledger in {}: {e}", folder.display()))?;
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros();
-    let mut by_destination: BTreeMap<u64, usize> = BTreeMap::new();
-    for owed in books.unended() {
-        let taken = &owed.taken;
-        *by_destination.entry(taken.destination).or_default() += 1;
-        let left = (i128::from(taken.outer_limit) - now as i128) / 1_000_000;
-        let unsure = owed.dispatches.iter().filter(|d| d.ended != Some(true)).count();
-        println!(
-            "{} {} for destination {}: {left} s left, {} dispatches, {unsure} of which may have run",
-            taken.id,
-            taken.category,
-            taken.destination,
-            owed.dispatches.len()
-        );
-    }
-    for notice in books.untold() {
-        println!("{} ended, and the platform has not been told: {:?}", notice.id.0, notice.end);
-    }
-    for (destination, count) in by_destination {
-        println!("destination {destination}: {count} owed");
-    }
-    if torn > 0 {
-        println!("{torn} bytes at the end can't be read; the next start cuts them off");
-    }
-    Ok(())
-}
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -58,6 +58,8 @@
     pub terms: Terms,
     /// What comes in is told to the module at most this often.
     pub tick: Duration,
+    /// When the ledger is made to outlast the machine.
+    pub sync: reeddock_ledger::Sync,
     /// A connection that is not up by then is none, and one that stands idle for so long is closed.
     pub connect_within: Duration,
     pub closed_after: Duration,
@@ -78,7 +80,7 @@
 pub async fn serve_on(listener: TcpListener, post: Post, stop: impl Future<Output = ()>) -> io::Result<()> {
     let limits = Limits::derive(post.allowance);
     let clock = Clock::start();
-    let ledger = Ledger::open(&post.state, post.allowance.disk_bytes)
+    let ledger = Ledger::open(&post.state, post.allowance.disk_bytes, post.sync)
         .map_err(|e| io::Error::new(e.kind(), format!("ledger in {}: {e}", post.state.display())))?;
     let (events, queue) = mpsc::channel(limits.queue);
     let (notices, untold) = mpsc::unbounded_channel();
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -354,10 +354,24 @@
     /// Hands the module what the ledger holds from before this start, in the order in which it was taken on.
     pub fn take_up(&mut self) {
         let now = self.clock.now();
-        let unended: Vec<Unended> = self.ledger.books().unended().into_iter().cloned().collect();
-        for Unended { taken, dispatches, .. } in unended {
-            let id = EnvelopeId(Arc::from(taken.id.as_str()));
-            let past: Vec<Past> = dispatches
+        let ids: Vec<EnvelopeId> = self.ledger.books().unended().iter().map(|u| u.id.clone()).collect();
+        for id in ids {
+            let Some(unended) = self.ledger.books().get(&id).cloned() else { continue };
+            let body = match self.ledger.body(&unended) {
+                Ok(body) => body,
+                Err(fault) => {
+                    tracing::error!(%fault, id = &*id.0, "an envelope that is owed can't be read, and is broken off");
+                    self.state
+                        .records
+                        .push(Record::Ended { id: id.0.to_string(), notice: Some(GivenUp::BrokenOff) });
+                    self.state.untold += 1;
+                    let _ = self.notices.send(Notice { id, end: GivenUp::BrokenOff });
+                    continue;
+                }
+            };
+            let Unended { category, tenant, key, destination, outer_limit, dispatches, lost, size, .. } =
+                unended;
+            let mut past: Vec<Past> = dispatches
                 .iter()
                 .map(|begun| Past {
                     target: self.target(&begun.target),
@@ -365,15 +379,18 @@
                     never_ran: begun.ended == Some(true),
                 })
                 .collect();
-            let (key, destination) = (taken.key.map(KeyId), DestinationId(taken.destination));
-            let outer_limit = self.clock.read(taken.outer_limit);
-            let (category, tenant) = (taken.category.as_str(), taken.tenant.as_deref());
+            if lost {
+                // One that nobody knows of, sent long ago for all that is known.
+                past.push(Past { target: self.target(""), sent: Duration::ZERO, never_ran: false });
+            }
+            let (key, destination) = (key.map(KeyId), DestinationId(destination));
+            let outer_limit = self.clock.read(outer_limit);
+            let (category, tenant) = (&*category, tenant.as_deref());
             let desk = &mut self.state.desk;
             self.forwarder.hand_in(now, id.clone(), category, tenant, key, outer_limit, destination, desk);
             self.forwarder.recall(now, &id, &past, desk);
-            let (size, dispatches) = (Ledger::size_of(&taken), past.len() as u32);
             self.state.bodies += size;
-            self.state.owed.insert(id, Owed { body: taken.body, size, dispatches });
+            self.state.owed.insert(id, Owed { body, size, dispatches: past.len() as u32 });
         }
         let (owed, untold) = (self.state.owed.len(), self.ledger.books().untold().count());
         if owed + untold > 0 {
@@ -398,16 +415,16 @@
         let orders = state.orders();
         let fresh = state.take_on();
         let begun = state.numbered(orders.going);
-        let written = self.write(&fresh, &begun, now);
+        let (written, taken_on) = self.write(&fresh, &begun, now);
         for notice in orders.notices {
             self.state.untold += 1;
             let _ = self.notices.send(notice);
         }
         let mut gone = BTreeSet::new();
         for Fresh { id, reply, .. } in fresh {
-            let answer = if written { Answer::TakenOn } else { Answer::NoRoom };
+            let answer = if taken_on { Answer::TakenOn } else { Answer::NoRoom };
             // A client that is no longer there has handed the envelope in anew.
-            if reply.send(answer).is_err() || !written {
+            if reply.send(answer).is_err() || !taken_on {
                 gone.insert(id);
             }
         }
@@ -438,8 +455,9 @@
     }
 
     /// Puts all that this turn brought into the ledger. What cannot be written is not begun and not taken on;
-    /// what has ended is written with the next turn.
-    fn write(&mut self, fresh: &[Fresh], begun: &[Departing], now: Duration) -> bool {
+    /// what has ended is written with the next turn. Says whether it was written, and whether what was handed
+    /// in is among it.
+    fn write(&mut self, fresh: &[Fresh], begun: &[Departing], now: Duration) -> (bool, bool) {
         let at = self.clock.stored(now);
         let state = &mut self.state;
         let mut records: Vec<Record> = fresh.iter().map(|f| Record::Taken(f.taken.clone())).collect();
@@ -448,16 +466,16 @@
             let target = state.places.get(&b.target).map_or(String::new(), |p| p.name.to_string());
             Record::Begun { id: b.id.0.to_string(), no: b.no.0, target, at }
         }));
-        match self.ledger.append(records) {
-            Ok(()) => {
+        match self.ledger.append(&records, now) {
+            Ok(written) => {
                 state.records.clear();
-                true
+                (true, written.taken_on)
             }
             Err(fault) => {
                 if let Some(more) = state.seldom.now() {
                     tracing::error!(%fault, more, "the ledger cannot be written, and nothing is taken on");
                 }
-                false
+                (false, false)
             }
         }
     }
--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -228,7 +228,7 @@
     async fn settled(&self) {
         let nothing = || {
             let (books, _) = look(&self.folder).unwrap();
-            (books.unended().is_empty() && books.untold().next().is_none()).then_some(())
+            (books.counts() == (0, 0)).then_some(())
         };
         until("nothing is owed", nothing).await;
     }
@@ -273,6 +273,7 @@
             known: ListPart::decode(known.as_bytes()).unwrap(),
             terms,
             tick: self.tick,
+            sync: Default::default(),
             connect_within: ms(1000),
             closed_after: self.closed_after,
             leave_within: ms(3000),
--- /dev/null
+++ b/crates/ledger/src/legacy.rs
@@ -0,0 +1,51 @@
+//! The single file of before: frames of length and checksum, one behind the other, with no head. It is read
+//! once, at the first start of a program that writes segments.
+
+use crate::books::{Books, Spot};
+use crate::record::Record;
+
+pub const NAME: &str = "ledger";
+const FRAME: usize = 8;
+/// A body of 64 KiB and its names.
+const LONGEST: usize = 1 << 20;
+
+/// The record that begins here, and the length of its frame.
+fn whole(bytes: &[u8]) -> Option<(Record, usize)> {
+    let frame = bytes.get(..FRAME)?;
+    let length = u32::from_le_bytes([frame[0], frame[1], frame[2], frame[3]]) as usize;
+    let sum = u32::from_le_bytes([frame[4], frame[5], frame[6], frame[7]]);
+    if length == 0 || length > LONGEST {
+        return None;
+    }
+    let record = bytes.get(FRAME..FRAME + length)?;
+    if crc32fast::hash(record) != sum {
+        return None;
+    }
+    Some((postcard::from_bytes(record).ok()?, FRAME + length))
+}
+
+/// Reads all of it; places and lengths of what can't be read.
+pub fn read(bytes: &[u8], books: &mut Books) -> Vec<(u64, u64)> {
+    let mut unread = Vec::new();
+    let mut at = 0;
+    while at < bytes.len() {
+        if let Some((record, length)) = whole(&bytes[at..]) {
+            books.apply(&record, Spot { segment: 0, offset: at as u64, length });
+            at += length;
+            continue;
+        }
+        let begun = at;
+        while at < bytes.len() && whole(&bytes[at..]).is_none() {
+            at += 1;
+        }
+        // A torn tail and a damaged one can't be told apart here, where a length has no checksum.
+        books.gap();
+        unread.push((begun as u64, (at - begun) as u64));
+    }
+    unread
+}
+
+/// The body of an envelope whose record stands here.
+pub fn record_at(bytes: &[u8], spot: Spot) -> Option<Record> {
+    whole(bytes.get(spot.offset as usize..)?).map(|(record, _)| record)
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,91 +1,504 @@
-//! What a forwarder has taken on and still owes, in one file that outlasts its process.
+//! What a forwarder has taken on and still owes, in a folder that outlasts its process.
 //!
-//! The file is append-only. Each record carries its length and a checksum; what a killed process left torn at
-//! the end is cut at the next start. Once most of the file tells of envelopes that are over, what is still
-//! owed is written to a new file, which takes the place of the old one.
+//! # What holds
+//!
+//! - Once [`Ledger::append`] has returned, its records outlast the process, and the machine too as far as
+//!   [`Sync`] promises.
+//! - Records stand in numbered segments, and are appended to the last. The first is emptied in bounded steps
+//!   that run behind appends, and dropped; which and how much is decided in [`plan`], which does no I/O. The
+//!   manifest says which segment is the first: it moves on after the copies stand and before the file goes.
+//! - What is owed always gets its end: each envelope's share of the room is counted when it is taken on, and a
+//!   reserve on the disk is given up for it when there is no space left.
+//! - At a start only what a cut write can have torn is cut. Anything else that can't be read is passed over,
+//!   told with its place, and kept; envelopes that were open at that place of the ledger count as ones that
+//!   may have run, as records of their dispatches may be among what is lost.
 
 mod books;
+mod folder;
+mod legacy;
+pub mod memory;
+pub mod plan;
 mod record;
+mod segment;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::io::{self, Read};
+use std::path::Path;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+pub use books::{Books, Unended};
+pub use folder::{Disk, Folder};
+pub use record::{Begun, Record, Taken};
+
+use books::Spot;
+use plan::{whole_blocks, Plan, Step};
+use segment::{Head, Piece, Scan, HEAD, VERSION};
+
+const MANIFEST: &str = "ledger.manifest";
+const NEW_MANIFEST: &str = "ledger.manifest.new";
+const RESERVE: &str = "ledger.reserve";
+/// What can't be read and is not needed any more is kept under names that begin so.
+const ASIDE: &str = "damaged-";
+/// Part of the folder that this may fill; the oldest goes first.
+const MOST_ASIDE: u64 = 16;
+/// Bytes of the reserve that are made again behind one append.
+const RESERVE_STEP: u64 = 64 * 1024;
+/// Damaged places that are told one by one.
+const PLACES_TOLD: usize = 100;
 
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, Read, Write};
-use std::path::{Path, PathBuf};
+/// When what was appended is made to outlast the machine, and not the process alone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sync {
+    /// Never: the folder outlasts the process, and is lost with the machine.
+    #[default]
+    Never,
+    /// Before an append returns. All of one append waits for one sync.
+    Each,
+    /// With the first append after so long: a lost machine loses what was written in that span.
+    Every(Duration),
+}
+
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Manifest {
+    version: u16,
+    first: u64,
+}
 
-use reeddock_protocol::Notice;
+/// A place that can't be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Damage {
+    pub file: String,
+    pub offset: u64,
+    /// 0 where a whole file is missing.
+    pub bytes: u64,
+    /// What in it looks like text, most likely an id.
+    pub hint: String,
+}
 
-pub use books::{Begun, Books, Unended};
-pub use record::{Record, Taken};
+impl fmt::Display for Damage {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        match self.bytes {
+            0 => write!(to, "{} is missing", self.file)?,
+            bytes => write!(to, "{}: {bytes} bytes at {} can't be read", self.file, self.offset)?,
+        }
+        if self.hint.is_empty() {
+            return Ok(());
+        }
+        write!(to, ", among them {:?}", self.hint)
+    }
+}
+
+/// What a reading of the whole ledger found beside what is owed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Findings {
+    /// Bytes at the end that a cut write left.
+    pub torn: u64,
+    pub damaged: Vec<Damage>,
+    /// Damaged places beyond those.
+    pub more: u64,
+    pub segments: u64,
+    pub bytes: u64,
+    pub records: u64,
+}
+
+impl Findings {
+    fn damage(&mut self, file: &str, offset: u64, bytes: u64, hint: String) {
+        if self.damaged.len() < PLACES_TOLD {
+            self.damaged.push(Damage { file: file.to_owned(), offset, bytes, hint });
+        } else {
+            self.more += 1;
+        }
+    }
+
+    pub fn is_sound(&self) -> bool {
+        self.damaged.is_empty()
+    }
+}
 
-/// A file counts in whole blocks of so many bytes.
-const BLOCK: u64 = 512;
+/// What came of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Written {
+    /// Whether the envelopes among the records were taken on; where there was no space for them, all else was
+    /// written without them and their dispatches.
+    pub taken_on: bool,
+}
 
 pub struct Ledger {
-    path: PathBuf,
-    file: File,
-    /// Held as long as this process writes here.
-    _lock: File,
-    written: u64,
-    /// Bytes that the file may have, and those that what is still owed may have in it, so that both the old
-    /// file and the new one find room while one takes the other's place.
-    most: u64,
-    most_owed: u64,
+    folder: Box<dyn Folder>,
+    plan: Plan,
+    sync: Sync,
     books: Books,
+    findings: Findings,
+    /// The last segment must not be appended to: it ends in something that can't be read.
+    sealed: bool,
+    /// Ends of envelopes that may stand in the ledger though they were not taken on, as a write that failed
+    /// could not be taken back. They go before anything else.
+    void: Vec<Record>,
+    /// Segments with bytes that were not synced.
+    unsynced: BTreeSet<u64>,
+    synced_at: Duration,
+    /// Segments that hold something that can't be read.
+    damaged: BTreeSet<u64>,
+    /// Where the emptying of the first segment stands.
+    cursor: u64,
+    reserve: u64,
+    /// What was owed when the disk was found full.
+    full_at: Option<u64>,
+    aside: BTreeMap<String, u64>,
     buffer: Vec<u8>,
+    quiet_until: Duration,
 }
 
-fn whole_blocks(bytes: u64) -> u64 {
-    bytes.div_ceil(BLOCK) * BLOCK
+/// How a segment stood before an append; none: it was begun with it.
+#[derive(Clone, Copy)]
+struct Before {
+    number: u64,
+    had: Option<u64>,
 }
 
-/// Reads what a folder's ledger says is owed, and how many bytes at its end can't be read; changes nothing.
-pub fn look(folder: &Path) -> io::Result<(Books, usize)> {
-    let bytes = fs::read(folder.join("ledger"))?;
-    let mut books = Books::default();
-    let torn = books.read(&bytes).len();
-    Ok((books, torn))
+/// Errors of compaction are told at most so often.
+const TOLD_EVERY: Duration = Duration::from_secs(10);
+
+fn later(file: &str, version: u16) -> io::Error {
+    let what = format!("{file} is of version {version}, and this program knows {VERSION} at most");
+    io::Error::new(io::ErrorKind::Unsupported, what)
 }
 
-impl Ledger {
-    /// Opens the ledger of a folder that may hold `most_bytes`.
-    pub fn open(folder: &Path, most_bytes: u64) -> io::Result<Ledger> {
-        let lock = File::create(folder.join("lock"))?;
-        lock.try_lock().map_err(|_| io::Error::other("another process writes this ledger"))?;
-        // Left by a process that was killed while the new file was being written: the old one still stands.
-        match fs::remove_file(folder.join("ledger.new")) {
-            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
-            _ => {}
+fn read_manifest(folder: &dyn Folder, files: &BTreeMap<String, u64>) -> io::Result<Option<Option<Manifest>>> {
+    if !files.contains_key(MANIFEST) {
+        return Ok(None);
+    }
+    let mut bytes = Vec::new();
+    folder.reader(MANIFEST)?.take(4096).read_to_end(&mut bytes)?;
+    let whole = record::head(&bytes).and_then(|(length, sum)| {
+        let value = bytes.get(record::FRAME..record::FRAME + length)?;
+        (crc32fast::hash(value) == sum).then_some(value)
+    });
+    // The version comes first, whatever a later one has behind it.
+    let version = whole.and_then(|v| postcard::take_from_bytes::<u16>(v).ok()).map(|v| v.0);
+    if let Some(version) = version.filter(|v| *v > VERSION) {
+        return Err(later(MANIFEST, version));
+    }
+    Ok(Some(whole.and_then(|v| postcard::from_bytes(v).ok())))
+}
+
+/// All that a folder holds, read without a change.
+struct Reading {
+    books: Books,
+    findings: Findings,
+    /// Segments that count, with their sizes.
+    segments: BTreeMap<u64, u64>,
+    damaged: BTreeSet<u64>,
+    /// Where the last segment's torn end begins.
+    torn_at: Option<u64>,
+    /// Segments before the first that counts.
+    past: Vec<u64>,
+    first: u64,
+    old: Option<Vec<u8>>,
+    has_manifest: bool,
+}
+
+fn read(folder: &dyn Folder) -> io::Result<Reading> {
+    let files = folder.files()?;
+    let manifest = read_manifest(folder, &files)?;
+    let mut reading = Reading {
+        books: Books::default(),
+        findings: Findings::default(),
+        segments: files.iter().filter_map(|(name, size)| Some((segment::number(name)?, *size))).collect(),
+        damaged: BTreeSet::new(),
+        torn_at: None,
+        past: Vec::new(),
+        first: 1,
+        old: None,
+        has_manifest: manifest.is_some(),
+    };
+    // Nothing is read, let alone changed, where a part of it is of a later version.
+    for number in reading.segments.keys() {
+        let name = segment::name(*number);
+        if let (_, Head::Later(version)) = Scan::begin(folder.reader(&name)?, *number)? {
+            return Err(later(&name, version));
         }
-        let path = folder.join("ledger");
-        let mut file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
+    }
+    if manifest.is_none() && files.contains_key(legacy::NAME) {
+        // Segments beside it were begun by a start that did not live to move it over.
+        reading.past = std::mem::take(&mut reading.segments).into_keys().collect();
         let mut bytes = Vec::new();
-        file.read_to_end(&mut bytes)?;
+        folder.reader(legacy::NAME)?.read_to_end(&mut bytes)?;
+        for (offset, length) in legacy::read(&bytes, &mut reading.books) {
+            reading.findings.damage(legacy::NAME, offset, length, String::new());
+        }
+        reading.findings.bytes = bytes.len() as u64;
+        reading.old = Some(bytes);
+        return Ok(reading);
+    }
+    let lowest = reading.segments.keys().next().copied();
+    let first = match manifest {
+        Some(Some(manifest)) => manifest.first,
+        other => {
+            if other.is_some() || lowest.is_some() {
+                let bytes = files.get(MANIFEST).copied().unwrap_or_default();
+                reading.findings.damage(MANIFEST, 0, bytes, String::new());
+            }
+            lowest.unwrap_or(1)
+        }
+    };
+    reading.first = first;
+    if reading.segments.range(first..).next().is_none() && first > 1 {
+        // The last segment is never dropped.
+        reading.findings.damage(&segment::name(first), 0, 0, String::new());
+    }
+    reading.past = reading.segments.range(..first).map(|(n, _)| *n).collect();
+    reading.segments = reading.segments.split_off(&first);
+    let last = reading.segments.keys().next_back().copied();
+    let mut expected = first;
+    for (number, size) in reading.segments.clone() {
+        for missing in expected..number.min(expected + 1000) {
+            reading.findings.damage(&segment::name(missing), 0, 0, String::new());
+            reading.books.gap();
+        }
+        expected = number + 1;
+        reading.findings.segments += 1;
+        reading.findings.bytes += size;
+        read_segment(folder, number, Some(number) == last, &mut reading)?;
+    }
+    Ok(reading)
+}
+
+fn read_segment(folder: &dyn Folder, number: u64, is_last: bool, to: &mut Reading) -> io::Result<()> {
+    let name = segment::name(number);
+    let (mut scan, head) = Scan::begin(folder.reader(&name)?, number)?;
+    let harm = |to: &mut Reading, offset, bytes, hint| {
+        to.findings.damage(&name, offset, bytes, hint);
+        to.books.gap();
+        to.damaged.insert(number);
+    };
+    match head {
+        Head::Short if is_last => {
+            // Begun, and cut short before anything was written to it.
+            to.findings.torn += to.segments.get(&number).copied().unwrap_or_default();
+            to.torn_at = Some(0);
+            return Ok(());
+        }
+        Head::Short | Head::Damaged => harm(to, 0, HEAD as u64, String::new()),
+        Head::Sound | Head::Later(_) => {}
+    }
+    loop {
+        match scan.next()? {
+            Piece::Record { record, offset, length } => {
+                to.findings.records += 1;
+                to.books.apply(&record, Spot { segment: number, offset, length });
+            }
+            Piece::Damaged { offset, bytes, hint } => harm(to, offset, bytes, hint),
+            Piece::Torn { offset, bytes } if is_last => {
+                to.findings.torn += bytes;
+                to.torn_at = Some(offset);
+            }
+            Piece::Torn { offset, bytes } => harm(to, offset, bytes, String::new()),
+            Piece::End => return Ok(()),
+        }
+    }
+}
+
+/// Reads what a folder's ledger says is owed, also beside the forwarder that writes it; changes nothing.
+pub fn look(folder: &Path) -> io::Result<(Books, Findings)> {
+    let disk = Disk::to_read(folder);
+    let mut tries = 0;
+    loop {
+        match read(&disk) {
+            Ok(reading) => return Ok((reading.books, reading.findings)),
+            // A segment was dropped while it was being read: what it held stands further on.
+            Err(e) if e.kind() == io::ErrorKind::NotFound && tries < 10 && folder.exists() => tries += 1,
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+impl Ledger {
+    /// Opens the ledger of a folder that may hold `most_bytes`.
+    pub fn open(folder: &Path, most_bytes: u64, sync: Sync) -> io::Result<Ledger> {
+        Ledger::open_in(Box::new(Disk::to_write(folder)?), most_bytes, sync)
+    }
+
+    pub fn open_in(folder: Box<dyn Folder>, most_bytes: u64, sync: Sync) -> io::Result<Ledger> {
+        let reading = read(&*folder)?;
         let mut ledger = Ledger {
-            path,
-            file,
-            _lock: lock,
-            written: 0,
-            most: most_bytes * 11 / 20,
-            most_owed: most_bytes * 2 / 5,
-            books: Books::default(),
+            folder,
+            plan: Plan::new(most_bytes),
+            sync,
+            books: reading.books,
+            findings: reading.findings,
+            sealed: false,
+            void: Vec::new(),
+            unsynced: BTreeSet::new(),
+            synced_at: Duration::ZERO,
+            damaged: reading.damaged,
+            cursor: 0,
+            reserve: 0,
+            full_at: None,
+            aside: BTreeMap::new(),
             buffer: Vec::new(),
+            quiet_until: Duration::ZERO,
         };
-        let rest = ledger.books.read(&bytes);
-        ledger.written = (bytes.len() - rest.len()) as u64;
-        if !rest.is_empty() {
-            tracing::warn!(bytes = rest.len(), "the ledger ends in a torn record, which is cut off");
-            ledger.file.set_len(ledger.written)?;
+        let files = ledger.folder.files()?;
+        ledger.aside =
+            files.iter().filter(|f| f.0.starts_with(ASIDE)).map(|(n, s)| (n.clone(), *s)).collect();
+        ledger.reserve = files.get(RESERVE).copied().unwrap_or_default();
+        if files.contains_key(NEW_MANIFEST) {
+            ledger.folder.remove(NEW_MANIFEST)?;
+        }
+        for number in reading.past {
+            ledger.folder.remove(&segment::name(number))?;
+        }
+        ledger.tell_findings();
+        ledger.plan.begins_at(reading.first);
+        for (number, size) in &reading.segments {
+            ledger.plan.has(*number, *size);
+        }
+        ledger.count_beside();
+        match reading.old {
+            Some(bytes) => ledger.move_over(&bytes)?,
+            None => {
+                if !reading.has_manifest || !ledger.findings.is_sound() {
+                    ledger.write_manifest(reading.first)?;
+                }
+                // A start that moved the old file over did not live to remove it.
+                if files.contains_key(legacy::NAME) {
+                    ledger.folder.remove(legacy::NAME)?;
+                }
+                ledger.cut(reading.torn_at);
+            }
         }
+        // Nothing is ever written behind what can't be read.
+        ledger.sealed |= ledger.plan.last().is_some_and(|last| ledger.damaged.contains(&last));
+        while ledger.reserve < ledger.plan.reserve() && ledger.keep_reserve() {}
         Ok(ledger)
     }
 
+    /// Cuts what a killed process left torn at the end.
+    fn cut(&mut self, torn_at: Option<u64>) {
+        let (Some(at), Some(last)) = (torn_at, self.plan.last()) else { return };
+        if self.damaged.contains(&last) {
+            return;
+        }
+        tracing::warn!(bytes = self.findings.torn, "the ledger ends in a torn record, which is cut off");
+        match self.folder.truncate(&segment::name(last), at) {
+            Ok(()) if at == 0 => {
+                // Not even its head is whole.
+                self.sealed = self.folder.remove(&segment::name(last)).is_err();
+                if !self.sealed {
+                    self.plan.dropped(last);
+                }
+            }
+            Ok(()) => self.plan.has(last, at),
+            Err(fault) => {
+                tracing::warn!(%fault, "it could not be cut off, and nothing is written behind it");
+                self.sealed = true;
+            }
+        }
+    }
+
+    fn tell_findings(&self) {
+        for damage in self.findings.damaged.iter().take(10) {
+            tracing::error!("the ledger is damaged: {damage}");
+        }
+        if !self.findings.is_sound() {
+            let lost = self.books.unended().iter().filter(|u| u.lost).count();
+            let (orphans, more) = self.books.orphans();
+            let named: Vec<&str> = orphans.take(20).map(|id| &*id.0).collect();
+            tracing::error!(
+                places = self.findings.damaged.len() as u64 + self.findings.more,
+                may_have_run = lost,
+                known_by_id_only = ?named,
+                more,
+                "what stood there is unknown; reeddock ledger --verify tells all of it"
+            );
+        }
+    }
+
+    /// The single file of before, written anew as segments.
+    fn move_over(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let ids: Vec<_> = self.books.unended().iter().map(|u| u.id.clone()).collect();
+        let untold: Vec<_> = self.books.untold().map(|n| n.id).collect();
+        let old = std::mem::take(&mut self.books);
+        let mut group = Vec::new();
+        for id in ids.iter().chain(&untold) {
+            let Some(mut record) = old.carried(id) else { continue };
+            if let (Record::Carried(carried), Some(unended)) = (&mut record, old.get(id)) {
+                if let Some(Record::Taken(taken)) = legacy::record_at(bytes, unended.spot()) {
+                    carried.taken.body = taken.body;
+                }
+            }
+            group.push(record);
+            if group.len() >= 64 {
+                self.write(&group)?;
+                group.clear();
+            }
+        }
+        self.write(&group)?;
+        self.sync_all()?;
+        let first = self.plan.first().unwrap_or(1);
+        self.write_manifest(first)?;
+        if self.findings.is_sound() {
+            self.folder.remove(legacy::NAME)?;
+        } else {
+            self.folder.rename(legacy::NAME, &format!("{ASIDE}{}", legacy::NAME))?;
+            self.aside.insert(format!("{ASIDE}{}", legacy::NAME), bytes.len() as u64);
+            self.count_beside();
+        }
+        tracing::info!(owed = ids.len(), "the ledger was moved over from its old format");
+        Ok(())
+    }
+
     /// All that is owed.
     pub fn books(&self) -> &Books {
         &self.books
     }
 
+    /// What the reading at the start found.
+    pub fn findings(&self) -> &Findings {
+        &self.findings
+    }
+
+    /// The body of an envelope that is owed.
+    pub fn body(&self, unended: &Unended) -> io::Result<Bytes> {
+        let record = self.record_at(unended.spot())?;
+        match record {
+            Record::Taken(taken) | Record::Carried(record::Carried { taken, .. }) => Ok(taken.body),
+            _ => Err(io::Error::new(io::ErrorKind::InvalidData, "another record stands in its place")),
+        }
+    }
+
+    fn record_at(&self, spot: Spot) -> io::Result<Record> {
+        let name = segment::name(spot.segment);
+        let bytes = self.folder.read_at(&name, spot.offset, spot.length)?;
+        let rotten =
+            || io::Error::new(io::ErrorKind::InvalidData, format!("{name} at {} is damaged", spot.offset));
+        let (length, sum) = record::head(&bytes).ok_or_else(rotten)?;
+        let value = bytes.get(record::FRAME..record::FRAME + length).ok_or_else(rotten)?;
+        if crc32fast::hash(value) != sum {
+            return Err(rotten());
+        }
+        postcard::from_bytes(value).map_err(|_| rotten())
+    }
+
     /// Bytes that are free for what is taken on from here on.
     pub fn room(&self) -> u64 {
-        self.most_owed.saturating_sub(self.books.owed())
+        // Without its reserve the end of what is owed already is not sure of its place.
+        // Nor is a disk that was full asked again before some of what is owed is over.
+        let full = self.full_at.is_some_and(|at| self.books.owed() > at - at / 16);
+        if full || self.reserve < self.plan.reserve() {
+            return 0;
+        }
+        self.plan.most_owed().saturating_sub(self.books.owed())
+    }
+
+    /// Bytes that all files have, in whole blocks.
+    pub fn used(&self) -> u64 {
+        self.plan.used()
     }
 
     /// What an envelope takes up until it is over.
@@ -93,54 +506,358 @@
         record::size(taken)
     }
 
-    /// Writes these records. All of them have outlasted this process once this returns; on an error none has.
-    pub fn append(&mut self, records: Vec<Record>) -> io::Result<()> {
+    /// Writes these records, and then empties the first segment by a step. All of them have outlasted this
+    /// process once this returns; on an error none has. With no space left the reserve goes for what is owed
+    /// already, and nothing is taken on.
+    pub fn append(&mut self, records: &[Record], now: Duration) -> io::Result<Written> {
         if records.is_empty() {
+            return Ok(Written { taken_on: true });
+        }
+        let mut taken_on = true;
+        let bytes = match self.write_and_sync(records, now) {
+            Ok(bytes) => bytes,
+            Err(fault) if fault.kind() == io::ErrorKind::StorageFull => {
+                self.full_at = Some(self.books.owed());
+                let musts = musts(records);
+                taken_on = musts.len() == records.len();
+                if musts.is_empty() {
+                    return Ok(Written { taken_on });
+                }
+                match self.write_and_sync(&musts, now) {
+                    Err(fault) if fault.kind() == io::ErrorKind::StorageFull && self.reserve > 0 => {
+                        tracing::warn!("no space is left; the reserve goes for what is owed already");
+                        self.give_reserve();
+                        self.write_and_sync(&musts, now)?
+                    }
+                    other => other?,
+                }
+            }
+            Err(fault) => return Err(fault),
+        };
+        self.step(bytes, now);
+        Ok(Written { taken_on })
+    }
+
+    /// Makes all that was appended outlast the machine.
+    pub fn sync_all(&mut self) -> io::Result<()> {
+        if self.sync == Sync::Never {
+            self.unsynced.clear();
             return Ok(());
         }
-        self.buffer.clear();
-        for record in &records {
-            record::write(&mut self.buffer, record);
+        while let Some(segment) = self.unsynced.first().copied() {
+            self.folder.sync(&segment::name(segment))?;
+            self.unsynced.remove(&segment);
         }
-        if whole_blocks(self.written + self.buffer.len() as u64) > self.most {
-            self.compact()?;
+        Ok(())
+    }
+
+    fn write_and_sync(&mut self, records: &[Record], now: Duration) -> io::Result<u64> {
+        if !self.void.is_empty() {
+            let void = std::mem::take(&mut self.void);
+            if let Err(fault) = self.write(&void) {
+                self.void.extend(void);
+                return Err(fault);
+            }
         }
-        if let Err(e) = self.file.write_all(&self.buffer) {
-            // Part of it may have been written, and nothing behind a torn record is read again.
-            self.file.set_len(self.written)?;
-            return Err(e);
+        let (bytes, before) = self.append_only(records)?;
+        let due = match self.sync {
+            Sync::Never => false,
+            Sync::Each => true,
+            Sync::Every(span) => now >= self.synced_at + span,
+        };
+        if due {
+            if let Err(fault) = self.sync_all() {
+                self.undo(before);
+                return Err(fault);
+            }
+            self.synced_at = now;
         }
-        self.written += self.buffer.len() as u64;
-        records.into_iter().for_each(|record| self.books.apply(record));
-        Ok(())
+        self.apply(records);
+        Ok(bytes)
     }
 
-    /// Puts a file with what is still owed in the place of the old one.
-    fn compact(&mut self) -> io::Result<()> {
-        let mut bytes = Vec::new();
-        for envelope in self.books.unended() {
-            record::write(&mut bytes, &Record::Taken(envelope.taken.clone()));
-            for (no, begun) in envelope.dispatches.iter().enumerate() {
-                let no = no as u32;
-                let (id, target) = (envelope.taken.id.clone(), begun.target.to_string());
-                record::write(&mut bytes, &Record::Begun { id: id.clone(), no, target, at: begun.at });
-                if let Some(never_ran) = begun.ended {
-                    record::write(&mut bytes, &Record::Returned { id, no, never_ran });
+    fn write(&mut self, records: &[Record]) -> io::Result<u64> {
+        if records.is_empty() {
+            return Ok(0);
+        }
+        let (bytes, _) = self.append_only(records)?;
+        self.apply(records);
+        Ok(bytes)
+    }
+
+    /// Puts records at the end of the last segment, or into a new one; the books don't have them yet.
+    fn append_only(&mut self, records: &[Record]) -> io::Result<(u64, Before)> {
+        let mut bytes = std::mem::take(&mut self.buffer);
+        bytes.clear();
+        bytes.resize(HEAD, 0);
+        records.iter().for_each(|r| record::frame(&mut bytes, r));
+        let length = (bytes.len() - HEAD) as u64;
+        let result = self.append_bytes(&mut bytes, length);
+        self.buffer = bytes;
+        if result.is_err() && self.sealed {
+            self.void.extend(records.iter().filter_map(|r| match r {
+                Record::Taken(taken) => Some(Record::Ended { id: taken.id.clone(), notice: None }),
+                _ => None,
+            }));
+        }
+        result.map(|before| (length, before))
+    }
+
+    fn append_bytes(&mut self, bytes: &mut [u8], length: u64) -> io::Result<Before> {
+        self.make_room(length + HEAD as u64)?;
+        let begins = self.sealed || self.plan.is_full(length);
+        let (number, had) = match self.plan.last().filter(|_| !begins) {
+            Some(last) => (last, Some(self.plan.size(last))),
+            None => (self.plan.next(), None),
+        };
+        if had.is_none() {
+            bytes[..HEAD].copy_from_slice(&segment::head(number));
+        }
+        let from = if had.is_none() { 0 } else { HEAD };
+        let before = Before { number, had };
+        self.plan.has(number, had.unwrap_or_default() + (bytes.len() - from) as u64);
+        let written = self.folder.append(&segment::name(number), &bytes[from..]).and_then(|()| {
+            if had.is_none() && self.sync != Sync::Never {
+                self.folder.sync_names()?;
+            }
+            Ok(())
+        });
+        if let Err(fault) = written {
+            self.undo(before);
+            return Err(fault);
+        }
+        self.unsynced.insert(number);
+        self.sealed = false;
+        Ok(before)
+    }
+
+    /// Takes back what an append left behind; nothing is written behind a torn record.
+    fn undo(&mut self, before: Before) {
+        let Before { number, had } = before;
+        let name = segment::name(number);
+        let undone = match had {
+            Some(had) => self.folder.truncate(&name, had),
+            None => match self.folder.remove(&name) {
+                Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(()),
+                other => other,
+            },
+        };
+        match (undone, had) {
+            (Ok(()), Some(had)) => self.plan.has(number, had),
+            (Ok(()), None) => {
+                self.plan.dropped(number);
+                self.unsynced.remove(&number);
+            }
+            (Err(fault), _) => {
+                tracing::warn!(%fault, "a write that failed could not be taken back; a new segment is begun");
+                self.sealed = true;
+                self.damaged.insert(number);
+            }
+        }
+    }
+
+    fn apply(&mut self, records: &[Record]) {
+        // Frames stand one behind the other at the end of the last segment.
+        let Some(last) = self.plan.last() else { return };
+        let mut offset = self.plan.size(last) - (self.buffer.len() - HEAD) as u64;
+        let mut at = HEAD;
+        for record in records {
+            let Some((length, _)) = self.buffer.get(at..).and_then(record::head) else { return };
+            let length = record::FRAME + length;
+            self.books.apply(record, Spot { segment: last, offset, length });
+            offset += length as u64;
+            at += length;
+        }
+    }
+
+    // # Compaction.
+
+    /// Has room for so many bytes, by emptying the first segments if there is no other way.
+    fn make_room(&mut self, bytes: u64) -> io::Result<()> {
+        let mut left = 4 * self.books.counts().0 + 1000;
+        while !self.plan.fits(bytes) {
+            let Step::Copy { segment, bytes } = self.plan.in_need() else { break };
+            if left == 0 || !self.plan.fits(0) {
+                break;
+            }
+            left -= 1;
+            // The copies themselves must fit, which appends that come here again would not find out.
+            let used = self.plan.used();
+            self.empty(segment, bytes.min(self.plan.most().saturating_sub(used) / 2))?;
+        }
+        if self.plan.fits(bytes) {
+            Ok(())
+        } else {
+            Err(io::ErrorKind::StorageFull.into())
+        }
+    }
+
+    /// A bounded step behind an append; what goes wrong in it harms no append.
+    fn step(&mut self, appended: u64, now: Duration) {
+        // A disk that was full has less room than the plan was told of.
+        let full = self.full_at.is_some() || self.reserve < self.plan.reserve();
+        let planned = self.plan.after_append(appended, self.books.owed());
+        let step = match self.plan.in_need() {
+            // Copies would take what is left, unless far more comes free than they need.
+            Step::Copy { segment, .. } if full => {
+                let pays = 4 * self.books.live_bytes(segment) <= self.plan.size(segment);
+                if pays {
+                    self.plan.in_need()
+                } else {
+                    Step::Rest
                 }
             }
+            _ => planned,
+        };
+        if let Step::Copy { segment, bytes } = step {
+            match self.empty(segment, bytes) {
+                Ok(copied) => self.plan.copied(copied),
+                Err(fault) if now >= self.quiet_until => {
+                    self.quiet_until = now + TOLD_EVERY;
+                    tracing::warn!(%fault, segment, "the ledger could not be compacted");
+                }
+                Err(_) => {}
+            }
         }
-        for Notice { id, end } in self.books.untold() {
-            record::write(&mut bytes, &Record::Ended { id: id.0.to_string(), notice: Some(end) });
+        if self.reserve < self.plan.reserve() {
+            self.keep_reserve();
         }
-        let new = self.path.with_extension("new");
-        let mut file = OpenOptions::new().append(true).create(true).open(&new)?;
-        let written = file.set_len(0).and_then(|()| file.write_all(&bytes));
-        if let Err(e) = written.and_then(|()| fs::rename(&new, &self.path)) {
-            let _ = fs::remove_file(&new);
-            return Err(e);
+    }
+
+    /// Copies what matters of the first segment to the end, some bytes of it at most; drops it once nothing does.
+    fn empty(&mut self, segment: u64, bytes: u64) -> io::Result<u64> {
+        let mut copied = 0;
+        let mut group = Vec::new();
+        let mut next = self.books.live_from(segment, self.cursor);
+        while let Some((offset, id)) = next.take() {
+            let Some(mut record) = self.books.carried(&id) else { break };
+            if let (Record::Carried(carried), Some(unended)) = (&mut record, self.books.get(&id)) {
+                carried.taken.body = self.body(unended)?;
+                copied += unended.spot().length as u64;
+            } else {
+                copied += record::FRAME as u64 + id.0.len() as u64;
+            }
+            group.push(record);
+            self.cursor = offset + 1;
+            next = self.books.live_from(segment, self.cursor);
+            if copied >= bytes {
+                break;
+            }
+        }
+        let done = next.is_none();
+        if !group.is_empty() {
+            if let Err(fault) = self.copy(&group) {
+                self.cursor = 0;
+                return Err(fault);
+            }
         }
-        self.file = file;
-        self.written = bytes.len() as u64;
+        if done {
+            self.cursor = 0;
+            if self.books.live_from(segment, 0).is_none() {
+                self.drop_first(segment)?;
+            }
+        }
+        Ok(copied)
+    }
+
+    fn copy(&mut self, records: &[Record]) -> io::Result<()> {
+        // Not by way of `make_room`, which comes here.
+        let mut bytes = vec![0; HEAD];
+        records.iter().for_each(|r| record::frame(&mut bytes, r));
+        let length = (bytes.len() - HEAD) as u64;
+        if !self.plan.fits(length + HEAD as u64) {
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        self.append_bytes(&mut bytes, length)?;
+        let kept = std::mem::replace(&mut self.buffer, bytes);
+        self.apply(records);
+        self.buffer = kept;
         Ok(())
     }
+
+    /// The first segment holds nothing that matters. Its copies outlast what it held before it goes, and the
+    /// manifest says so first: were a later segment's name gone and this one's not, what it tells of envelopes
+    /// that ended there would stand again.
+    fn drop_first(&mut self, segment: u64) -> io::Result<()> {
+        self.sync_all()?;
+        self.write_manifest(segment + 1)?;
+        let name = segment::name(segment);
+        if self.damaged.remove(&segment) {
+            let aside = format!("{ASIDE}{name}");
+            self.folder.rename(&name, &aside)?;
+            self.aside.insert(aside, self.plan.size(segment));
+            let most = self.plan.most() / MOST_ASIDE;
+            while self.aside.values().map(|s| whole_blocks(*s)).sum::<u64>() > most {
+                let Some((oldest, _)) = self.aside.pop_first() else { break };
+                tracing::warn!(file = oldest, "there is no room to keep a damaged part of the ledger longer");
+                self.folder.remove(&oldest)?;
+            }
+        } else {
+            self.folder.remove(&name)?;
+        }
+        self.plan.dropped(segment);
+        self.full_at = None;
+        self.count_beside();
+        Ok(())
+    }
+
+    fn write_manifest(&mut self, first: u64) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        record::frame(&mut bytes, &Manifest { version: VERSION, first });
+        match self.folder.remove(NEW_MANIFEST) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        self.folder.append(NEW_MANIFEST, &bytes)?;
+        if self.sync != Sync::Never {
+            self.folder.sync(NEW_MANIFEST)?;
+        }
+        self.folder.rename(NEW_MANIFEST, MANIFEST)?;
+        if self.sync != Sync::Never {
+            self.folder.sync_names()?;
+        }
+        Ok(())
+    }
+
+    // # The reserve.
+
+    fn count_beside(&mut self) {
+        let aside: u64 = self.aside.values().map(|s| whole_blocks(*s)).sum();
+        // The manifest, and the one that takes its place.
+        self.plan.set_beside(aside + whole_blocks(self.reserve) + 2 * plan::BLOCK);
+    }
+
+    /// Makes a piece of the reserve; says whether there was space.
+    fn keep_reserve(&mut self) -> bool {
+        let piece = (self.plan.reserve() - self.reserve).min(RESERVE_STEP);
+        if !self.plan.fits(piece) {
+            return false;
+        }
+        let kept = self.folder.append(RESERVE, &vec![0; piece as usize]);
+        self.reserve = self.folder.files().ok().and_then(|f| f.get(RESERVE).copied()).unwrap_or_default();
+        self.count_beside();
+        kept.is_ok()
+    }
+
+    fn give_reserve(&mut self) {
+        match self.folder.remove(RESERVE) {
+            Ok(()) => self.reserve = 0,
+            Err(fault) => tracing::warn!(%fault, "the reserve could not be given up"),
+        }
+        self.count_beside();
+    }
+}
+
+/// What must be written whatever else can't be: all but what is newly taken on, and its dispatches.
+fn musts(records: &[Record]) -> Vec<Record> {
+    let taken: BTreeSet<&str> = records
+        .iter()
+        .filter_map(|r| if let Record::Taken(taken) = r { Some(taken.id.as_str()) } else { None })
+        .collect();
+    let must = |r: &&Record| match r {
+        Record::Taken(_) => false,
+        Record::Begun { id, .. } | Record::Returned { id, .. } => !taken.contains(id.as_str()),
+        Record::Ended { .. } | Record::Told { .. } | Record::Carried(_) => true,
+    };
+    records.iter().filter(must).cloned().collect()
 }
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -1,4 +1,6 @@
-//! One record of the ledger, and its frame of length and checksum.
+//! One record of the ledger, and the frame that it stands in.
+
+use std::sync::Arc;
 
 use bytes::Bytes;
 use reeddock_protocol::GivenUp;
@@ -43,6 +45,45 @@
     Told {
         id: String,
     },
+    /// An envelope that is owed, with all that is known of it, copied from a segment that is being emptied. It
+    /// stands for everything about this envelope before it.
+    Carried(Carried),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Carried {
+    pub taken: Taken,
+    /// Its place among all that were taken on.
+    pub place: u64,
+    pub dispatches: Vec<Begun>,
+    /// Records of its dispatches may have been lost.
+    pub lost: bool,
+}
+
+/// A dispatch that was begun.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Begun {
+    /// The target's name in the list, which outlasts a process; empty where that was lost.
+    #[serde(with = "text")]
+    pub target: Arc<str>,
+    /// Microseconds of Unix time; 0 where that was lost.
+    pub at: u64,
+    /// Known to have ended, and whether that proves that it never ran.
+    pub ended: Option<bool>,
+}
+
+mod text {
+    use std::sync::Arc;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(text: &Arc<str>, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(text)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Arc<str>, D::Error> {
+        String::deserialize(from).map(Arc::from)
+    }
 }
 
 mod body {
@@ -70,36 +111,41 @@
     }
 }
 
-/// Bytes of a frame before its record: length, then checksum of the record.
-const FRAME: usize = 8;
+/// Bytes of a frame before its record: a marker by which the next one is found behind damage, the record's
+/// length and checksum, and a checksum of these, so that a damaged length is told from a torn record.
+pub const FRAME: usize = 14;
+const MARKER: [u8; 2] = [0xd7, 0x5e];
+/// A body, and more dispatches than any envelope gets.
+pub const LONGEST: usize = 16 * 1024 * 1024;
 
-pub fn write(to: &mut Vec<u8>, record: &Record) {
+/// Puts any value in a frame behind what is there.
+pub fn frame<T: Serialize>(to: &mut Vec<u8>, value: &T) {
     let start = to.len();
     to.extend([0; FRAME]);
-    if let Err(e) = postcard::to_io(record, &mut *to) {
+    if let Err(e) = postcard::to_io(value, &mut *to) {
         // Memory takes whatever is written to it.
         tracing::error!(%e, "a record could not be put in bytes");
         return to.truncate(start);
     }
     let length = (to.len() - start - FRAME) as u32;
     let sum = crc32fast::hash(&to[start + FRAME..]);
-    to[start..start + 4].copy_from_slice(&length.to_le_bytes());
-    to[start + 4..start + FRAME].copy_from_slice(&sum.to_le_bytes());
+    to[start..start + 2].copy_from_slice(&MARKER);
+    to[start + 2..start + 6].copy_from_slice(&length.to_le_bytes());
+    to[start + 6..start + 10].copy_from_slice(&sum.to_le_bytes());
+    let own = crc32fast::hash(&to[start..start + 10]);
+    to[start + 10..start + FRAME].copy_from_slice(&own.to_le_bytes());
 }
 
-/// The first record of these bytes and what follows it; none where it is torn or damaged.
-pub fn read(bytes: &[u8]) -> Option<(Record, &[u8])> {
-    let (frame, rest) = bytes.split_at_checked(FRAME)?;
-    let length = u32::from_le_bytes(frame[..4].try_into().ok()?) as usize;
-    let sum = u32::from_le_bytes(frame[4..].try_into().ok()?);
-    let (record, rest) = rest.split_at_checked(length)?;
-    if length == 0 || crc32fast::hash(record) != sum {
-        return None;
-    }
-    Some((postcard::from_bytes(record).ok()?, rest))
+/// Length and checksum of the record that a frame announces; none where this is no whole frame's head.
+pub fn head(bytes: &[u8]) -> Option<(usize, u32)> {
+    let head = bytes.get(..FRAME)?;
+    let word = |at: usize| Some(u32::from_le_bytes(head.get(at..at + 4)?.try_into().ok()?));
+    let (length, sum, own) = (word(2)? as usize, word(6)?, word(10)?);
+    let sound = head[..2] == MARKER && crc32fast::hash(&head[..10]) == own;
+    (sound && 0 < length && length <= LONGEST).then_some((length, sum))
 }
 
-/// What an envelope takes up in the file until it is over: itself, and some dispatches with their ends.
+/// What an envelope takes up until it is over: itself, and some dispatches with their ends.
 pub fn size(taken: &Taken) -> u64 {
     const DISPATCHES: u64 = 512;
     let text = taken.id.len() + taken.category.len() + taken.tenant.as_ref().map_or(0, String::len);
--- /dev/null
+++ b/crates/ledger/tests/ledger/main.rs
@@ -0,0 +1,7 @@
+//! The ledger after kills, losses, damage and long use.
+
+mod crashes;
+mod damage;
+mod load;
+mod random;
+mod stories;
--- /dev/null
+++ b/crates/ledger/tests/ledger/random.rs
@@ -0,0 +1,66 @@
+//! Random steps against the plain reference: appends, restarts after kills, restarts after losses.
+
+use proptest::prelude::*;
+use reeddock_ledger::memory::Memory;
+use reeddock_ledger::{Ledger, Sync};
+
+use crate::load::{Load, Model};
+
+#[derive(Clone, Debug)]
+enum Move {
+    Append(usize),
+    Kill,
+    Lose,
+    Lapse,
+}
+
+fn moves() -> impl Strategy<Value = Vec<Move>> {
+    let one = prop_oneof![
+        6 => (1..40usize).prop_map(Move::Append),
+        1 => Just(Move::Kill),
+        1 => Just(Move::Lose),
+        1 => Just(Move::Lapse),
+    ];
+    prop::collection::vec(one, 1..25)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 150, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_books_are_those_of_the_reference(
+        seed in any::<u64>(),
+        body in 0..900usize,
+        most in 40_000..200_000u64,
+        moves in moves(),
+    ) {
+        let mut memory = Memory::default();
+        let mut ledger = Ledger::open_in(Box::new(memory.clone()), most, Sync::Each).unwrap();
+        let mut load = Load::new(seed, body);
+        for step in moves {
+            match step {
+                Move::Append(groups) => load.play(&mut ledger, groups).map_err(|e| e.0).unwrap(),
+                Move::Lapse => {
+                    // All that is open ends at once, as after a long stop.
+                    let ends: Vec<_> = load.model.open.keys().map(|id| {
+                        reeddock_ledger::Record::Ended { id: id.clone(), notice: None }
+                    }).collect();
+                    ends.iter().for_each(|r| load.model.apply(r));
+                    ledger.append(&ends, Default::default()).unwrap();
+                }
+                Move::Kill | Move::Lose => {
+                    drop(ledger);
+                    memory = if matches!(step, Move::Kill) { memory.after_a_kill() } else { memory.after_a_loss() };
+                    ledger = Ledger::open_in(Box::new(memory.clone()), most, Sync::Each).unwrap();
+                    prop_assert!(ledger.findings().is_sound());
+                }
+            }
+            prop_assert_eq!(&Model::of(ledger.books()), &load.model);
+            prop_assert!(ledger.used() <= most, "{} of {}", ledger.used(), most);
+            prop_assert!(memory.size() <= most);
+            for unended in ledger.books().unended() {
+                prop_assert_eq!(ledger.body(unended).unwrap().len(), body);
+            }
+        }
+    }
+}
