--- a/crates/ledger/tests/ledger/stories.rs
+++ b/crates/ledger/tests/ledger/stories.rs
@@ -60,14 +60,11 @@
     let mut ledger = folder.open();
     let returned = Record::Returned { id: "b".into(), no: 0, never_ran: true };
     ledger
-        .append(
-            &vec![taken("b"), taken("a"), taken("c"), begun("b", 0), returned, begun("b", 1)],
-            Duration::ZERO,
-        )
+        .append(&[taken("b"), taken("a"), taken("c"), begun("b", 0), returned, begun("b", 1)], Duration::ZERO)
         .unwrap();
-    ledger.append(&vec![Record::Ended { id: "a".into(), notice: None }], Duration::ZERO).unwrap();
+    ledger.append(&[Record::Ended { id: "a".into(), notice: None }], Duration::ZERO).unwrap();
     ledger
-        .append(&vec![Record::Ended { id: "c".into(), notice: Some(GivenUp::BrokenOff) }], Duration::ZERO)
+        .append(&[Record::Ended { id: "c".into(), notice: Some(GivenUp::BrokenOff) }], Duration::ZERO)
         .unwrap();
     assert!(Ledger::open(&folder.0, MOST, Sync::Never).is_err(), "one process writes at a time");
     drop(ledger);
@@ -79,7 +76,7 @@
     let past: Vec<_> = b.dispatches.iter().map(|d| (&*d.target, d.ended)).collect();
     assert_eq!(past, [("t0", Some(true)), ("t1", None)]);
     assert_eq!(ledger.books().untold().map(|n| n.id.0.to_string()).collect::<Vec<_>>(), ["c"]);
-    ledger.append(&vec![Record::Told { id: "c".into() }], Duration::ZERO).unwrap();
+    ledger.append(&[Record::Told { id: "c".into() }], Duration::ZERO).unwrap();
     drop(ledger);
     assert_eq!(folder.open().books().untold().count(), 0);
 }
@@ -111,11 +108,11 @@
 fn long_use_stays_within_the_disk_and_loses_nothing() {
     let folder = Folder::new("long");
     let mut ledger = folder.open();
-    ledger.append(&vec![taken("first"), begun("first", 0)], Duration::ZERO).unwrap();
+    ledger.append(&[taken("first"), begun("first", 0)], Duration::ZERO).unwrap();
     for n in 0..3000 {
         let id = format!("e{n}");
-        ledger.append(&vec![taken(&id), begun(&id, 0)], Duration::ZERO).unwrap();
-        ledger.append(&vec![Record::Ended { id, notice: None }], Duration::ZERO).unwrap();
+        ledger.append(&[taken(&id), begun(&id, 0)], Duration::ZERO).unwrap();
+        ledger.append(&[Record::Ended { id, notice: None }], Duration::ZERO).unwrap();
         assert!(folder.size() <= MOST);
     }
     drop(ledger);
@@ -127,7 +124,7 @@
 #[test]
 fn what_a_kill_during_compaction_left_is_cleared_away() {
     let folder = Folder::new("left");
-    folder.open().append(&vec![taken("a")], Duration::ZERO).unwrap();
+    folder.open().append(&[taken("a")], Duration::ZERO).unwrap();
     fs::write(folder.0.join("ledger.manifest.new"), b"half of it").unwrap();
     assert_eq!(ids(&folder.open()), ["a"]);
     assert!(!folder.0.join("ledger.manifest.new").exists());
