--- a/crates/emulator/src/account.rs
+++ b/crates/emulator/src/account.rs
@@ -218,10 +218,6 @@
         self.tries.len()
     }
 
-    pub fn was_completed(&self, first_try: usize) -> bool {
-        self.tries.get(first_try).is_some_and(|t| t.completed)
-    }
-
     pub fn category(&self, n: usize) -> Credit {
         self.categories[n]
     }
--- a/crates/emulator/src/layout.rs
+++ b/crates/emulator/src/layout.rs
@@ -46,8 +46,6 @@
     pub usual: f64,
     pub pace: f64,
     pub gate: Gate,
-    /// Envelopes a second that all its targets together are built for.
-    pub capacity: f64,
     pub targets: Vec<TargetNo>,
 }
 
@@ -130,7 +128,7 @@
                 });
             }
             let gate = if kind.apart { Gate::Open } else { gate(limit) };
-            let plan = DestinationPlan { kind: kind_no, part, usual, pace, gate, capacity, targets };
+            let plan = DestinationPlan { kind: kind_no, part, usual, pace, gate, targets };
             layout.destinations.push(plan);
         }
 
--- a/crates/emulator/src/oracles.rs
+++ b/crates/emulator/src/oracles.rs
@@ -172,10 +172,6 @@
         (self.count, self.broken)
     }
 
-    pub fn is_clean(&self) -> bool {
-        self.count == 0
-    }
-
     pub fn fault(&mut self, rule: Rule, at: Duration, envelope: Option<EnvelopeNo>, what: String) {
         self.count += 1;
         if self.broken.len() >= TOLD_IN_FULL {
--- a/crates/emulator/src/partner.rs
+++ b/crates/emulator/src/partner.rs
@@ -109,8 +109,7 @@
             self.pushed.pop_front();
         }
         let sent: f64 = self.pushed.iter().map(|p| p.1).sum();
-        let budget =
-            terms.fall_multiple.get() * warmth * self.plan.capacity * span.as_secs_f64() + PUSH_SLACK;
+        let budget = self.budget(now, terms) + PUSH_SLACK;
         if sent <= budget {
             return None;
         }
--- a/crates/emulator/src/world/forwarders.rs
+++ b/crates/emulator/src/world/forwarders.rs
@@ -60,7 +60,6 @@
     /// Parts whose outcome the forwarder does not have yet.
     pub waiting: Vec<bool>,
     pub begun: Duration,
-    pub arrived: bool,
     /// Nobody waits for it, and the target found out before it began.
     pub void: bool,
     /// Its connection counts at the target.
@@ -654,7 +653,6 @@
                 parts: Vec::new(),
                 waiting: Vec::new(),
                 begun: now,
-                arrived: false,
                 void: false,
                 connected: false,
                 work: 0.0,
--- a/crates/emulator/src/world/targets.rs
+++ b/crates/emulator/src/world/targets.rs
@@ -160,7 +160,6 @@
         let (target, forwarder) = (self.calls[call.0].target, self.calls[call.0].forwarder);
         let destination = self.partners[target.0].plan.destination;
         self.partners[target.0].on_the_way = self.partners[target.0].on_the_way.saturating_sub(1);
-        self.calls[call.0].arrived = true;
         if self.refuses_connections(target) || self.calls[call.0].life != self.partners[target.0].life {
             // The connection broke while it was on its way.
             let at = now + self.way_back(call);
--- a/crates/ledger/src/books.rs
+++ b/crates/ledger/src/books.rs
@@ -46,10 +46,6 @@
     pub fn spot(&self) -> Spot {
         self.spot
     }
-
-    pub fn place(&self) -> u64 {
-        self.place
-    }
 }
 
 struct Untold {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -174,10 +174,7 @@
     }
     let mut bytes = Vec::new();
     folder.reader(MANIFEST)?.take(4096).read_to_end(&mut bytes)?;
-    let whole = record::head(&bytes).and_then(|(length, sum)| {
-        let value = bytes.get(record::FRAME..record::FRAME + length)?;
-        (crc32fast::hash(value) == sum).then_some(value)
-    });
+    let whole = record::value(&bytes);
     // The version comes first, whatever a later one has behind it.
     let version = whole.and_then(|v| postcard::take_from_bytes::<u16>(v).ok()).map(|v| v.0);
     if let Some(version) = version.filter(|v| *v > VERSION) {
@@ -480,11 +477,7 @@
         let bytes = self.folder.read_at(&name, spot.offset, spot.length)?;
         let rotten =
             || io::Error::new(io::ErrorKind::InvalidData, format!("{name} at {} is damaged", spot.offset));
-        let (length, sum) = record::head(&bytes).ok_or_else(rotten)?;
-        let value = bytes.get(record::FRAME..record::FRAME + length).ok_or_else(rotten)?;
-        if crc32fast::hash(value) != sum {
-            return Err(rotten());
-        }
+        let value = record::value(&bytes).ok_or_else(rotten)?;
         postcard::from_bytes(value).map_err(|_| rotten())
     }
 
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -72,6 +72,13 @@
     pub ended: Option<bool>,
 }
 
+/// The bytes in the frame that begins here, if it is whole and undamaged.
+pub fn value(bytes: &[u8]) -> Option<&[u8]> {
+    let (length, sum) = head(bytes)?;
+    let value = bytes.get(FRAME..FRAME + length)?;
+    (crc32fast::hash(value) == sum).then_some(value)
+}
+
 /// A record as it stands in a file, borrowed from what was read: a start reads millions of them.
 #[derive(Debug, Deserialize)]
 pub enum View<'a> {
--- a/crates/ledger/src/segment.rs
+++ b/crates/ledger/src/segment.rs
@@ -124,10 +124,8 @@
 
     /// Where the record that begins here stands in the buffer, if it is whole.
     fn whole(&self) -> Option<std::ops::Range<usize>> {
-        let (length, sum) = record::head(self.rest())?;
-        let range = self.at + FRAME..self.at + FRAME + length;
-        let bytes = self.buffer.get(range.clone())?;
-        (crc32fast::hash(bytes) == sum).then_some(range)
+        let from = self.at + FRAME;
+        record::value(self.rest()).map(|value| from..from + value.len())
     }
 
     /// The record that was read last; none where it is whole and makes no sense.
