A refused watch on the list rests 6 s on average and longer, so that a fleet ends the overbooking

Only the watches that never ended told anything, so that 90 forwarders sent to replaced targets until the end: 5,844 connections refused. At fault were discovery.rs' AGAIN_FIRST and AGAIN_MOST: 100 ms doubled to 2 s at the most, harmless in one, keeps discovery overbooked where refused calls count.

Change: reopening.rs decides alone; a refusal rests by chance, 6 s on average as what discovery tells counts as told after 6 s, doubled to 24 s; an asked wait is kept; breaks as before. Chance comes from the given seed and not from the process id.

--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limits;
 pub mod notices;
 pub mod owner;
+pub mod reopening;
 pub mod seldom;
 
 use std::collections::BTreeMap;
@@ -44,6 +45,7 @@
 use intake::Door;
 use limits::{Allowance, Limits};
 use owner::{Event, Owner, State};
+use reopening::Reopening;
 
 /// What one forwarder is told at its start.
 pub struct Post {
@@ -88,6 +90,7 @@
     let mut state = State::default();
     let batches: BTreeMap<String, usize> =
         post.terms.kinds.iter().map(|k| (k.0.clone(), k.2.unwrap_or(1).max(1) as usize)).collect();
+    let reopening = Reopening::new(post.terms.seed);
     let forwarder = Forwarder::open(clock.now(), post.terms, state.desk());
     let generation = post.known.generation;
     let mut owner = Owner {
@@ -105,7 +108,7 @@
     owner.list(post.known);
     owner.take_up();
     tokio::spawn(notices::tell(post.discovery.clone(), untold, events.clone()));
-    tokio::spawn(discovery::follow(post.discovery, generation, events.clone()));
+    tokio::spawn(discovery::follow(post.discovery, generation, reopening, events.clone()));
     tokio::spawn(async move {
         let mut tick = interval(Duration::from_millis(500));
         loop {
