Each of many forwarders has turns at a route with a listed rate, before any refusal

At fault was Forwarder::admit: nothing paced a route that had refused nothing yet, so that each clump met a call of every forwarder that had been idle.

Change: with many forwarders a route with a listed rate has turns, one call in each, begun in their first three tenths, lying apart by a phase drawn when the target is first listed; as many more as one's part is over the even one. Replaces the gap since the last call of routes whose calls carry many. The spacing after refusals stays.

--- a/src/control.rs
+++ b/src/control.rs
@@ -38,8 +38,13 @@
 const SPACING_SHRINK: f64 = 0.93;
 /// First spacing, in usual gaps between a forwarder's calls to the route.
 const FIRST_GAP: f64 = 0.5;
-/// Where forwarders are many, in gaps between the calls that are one's part of the listed rate, which may be
-/// half too high: first spacing, spacing of calls that carry many envelopes, and the widest.
+/// Where forwarders are many, their turns at a route with a listed rate, in gaps between the calls that are
+/// one's part of it. Under 1, as some turns stay unused; calls that carry many envelopes wait for these.
+const TURN: f64 = 0.8;
+const FULL_TURN: f64 = OVERLISTED;
+/// The part of a turn in which its call may begin.
+const TURN_OPEN: f64 = 0.3;
+/// In the same gaps, as the list may be half too high: first spacing after a refusal, and the widest.
 const OVERLISTED: f64 = 1.5;
 const WIDEST_GAPS: f64 = 8.0;
 /// The same shrinking where an answer comes once in such a gap of seconds, and each tells as much as many do.
@@ -292,8 +297,29 @@
             .max(self.card.recovery_delay / 4)
     }
 
+    /// Symptom: many forwarders that were refused nothing yet send what comes at once, and a clump that comes
+    /// to all of them is over a limit which refused calls use up too, so that nothing passes for seconds. Each
+    /// has turns at a route with a listed rate, one call in each, and the turns of all lie apart by chance and
+    /// are soon over, so that the unused ones are not kept for the clump. It costs part of a promise where the
+    /// limit is far. None: a call may go; else the next turn.
+    fn next_turn(&self, route: Route, target: &Target, now: Duration) -> Option<Duration> {
+        let paced = self.card.many && self.card.weights_are_rates && self.apart(target);
+        let listed = target.weight.filter(|_| paced)?;
+        // One that carries several times what others do has that many turns.
+        let times = (self.part(target, now) * self.card.forwarders / listed).round().max(1.0);
+        let apart = if self.listed_full(target) { FULL_TURN } else { TURN };
+        let turn = (apart * self.card.forwarders / listed / times).min(self.card.longest.as_secs_f64());
+        let at = now.as_secs_f64() / turn + target.phase;
+        let began = now.saturating_sub(seconds(at.fract() * turn));
+        let used = self.circuits.get(&route).is_some_and(|c| c.last_sent > began);
+        (used || at.fract() > TURN_OPEN).then(|| began + seconds(turn) + LEAST_WAKE)
+    }
+
     /// Whether a call may go to the target now.
     fn admit(&self, route: Route, target: &Target, now: Duration) -> Leave {
+        if let Some(at) = self.next_turn(route, target, now) {
+            return Leave::Hold(Some(at));
+        }
         let Some(circuit) = self.circuits.get(&route) else { return Leave::Send };
         if now < circuit.wait_until {
             return Leave::Hold(Some(circuit.wait_until));
@@ -301,14 +327,8 @@
         // Symptom: calls are refused as over a limit, which refused calls, trials too, may use up as well.
         // Also covers full queues. It can harm by staying slow for some answers after a limit was felt only
         // once.
-        let mut spaced = circuit.last_sent + seconds(circuit.spacing);
-        if self.card.many {
-            // Symptom: each of many sends what it has at once, one envelope in a call, and all their calls
-            // are over the limit, though it would take all envelopes in fuller ones. It costs a part of their
-            // promise where the limit is far.
-            let gap = if self.listed_full(target) { OVERLISTED / self.part(target, now) } else { 0.0 };
-            spaced = circuit.spaced_until.max(circuit.last_sent + seconds(gap));
-        }
+        let after_last = circuit.last_sent + seconds(circuit.spacing);
+        let spaced = if self.card.many { circuit.spaced_until } else { after_last };
         let leave = circuit.deliver(now);
         if matches!(leave, Leave::Hold(_)) {
             return leave;
@@ -895,7 +915,8 @@
     pub fn listed(&mut self, listing: Listing) {
         let kind = self.card.kinds.iter().position(|k| k.0 == listing.kind);
         let earned = (EARNED_FIRST / self.card.forwarders).min(EARNED_MOST);
-        self.enter(&listing, kind, earned);
+        let phase = self.chance.random::<f64>();
+        self.enter(&listing, kind, earned, phase);
     }
 
     /// Asking for the list failed; the old one stands.
--- a/src/state.rs
+++ b/src/state.rs
@@ -126,6 +126,8 @@
     pub kind: Option<usize>,
     /// Credit earned by answers, spent by further dispatches.
     pub earned: f64,
+    /// Where in time this forwarder's turns at it begin, in turns.
+    pub phase: f64,
     pub calls_out: u32,
     /// Failures of each category since its last answer.
     pub strikes: BTreeMap<usize, u32>,
@@ -288,7 +290,7 @@
         }
     }
 
-    pub(crate) fn enter(&mut self, listing: &Listing, kind: Option<usize>, earned: f64) {
+    pub(crate) fn enter(&mut self, listing: &Listing, kind: Option<usize>, earned: f64, phase: f64) {
         if let Some(named) = &mut self.telling {
             named.insert(listing.target);
         }
@@ -300,6 +302,7 @@
             zone: String::new(),
             kind,
             earned,
+            phase,
             calls_out: 0,
             strikes: BTreeMap::new(),
             trouble: None,
