Turns at absurd listed rates are bounded, and stay open for a tenth of a second at least

Need: a listed rate is a figure of others. Change: a turn lasts from a millisecond to the longest outer limit and is open for 0.1 s at least, longer than any host's tick. The story fails with the bound alone (tried).

--- a/src/control.rs
+++ b/src/control.rs
@@ -42,8 +42,10 @@
 /// one's part of it. Under 1, as some turns stay unused; calls that carry many envelopes wait for these.
 const TURN: f64 = 0.8;
 const FULL_TURN: f64 = OVERLISTED;
-/// The part of a turn in which its call may begin.
+/// The part of a turn in which its call may begin, and its least in seconds: a host that takes its turns on a
+/// coarse grid would meet short ones closed each time.
 const TURN_OPEN: f64 = 0.3;
+const TURN_OPEN_LEAST: f64 = 0.1;
 /// In the same gaps, as the list may be half too high: first spacing after a refusal, and the widest.
 const OVERLISTED: f64 = 1.5;
 const WIDEST_GAPS: f64 = 8.0;
@@ -308,11 +310,14 @@
         // One that carries several times what others do has that many turns.
         let times = (self.part(target, now) * self.card.forwarders / listed).round().max(1.0);
         let apart = if self.listed_full(target) { FULL_TURN } else { TURN };
-        let turn = (apart * self.card.forwarders / listed / times).min(self.card.longest.as_secs_f64());
+        let turn = apart * self.card.forwarders / listed / times;
+        // Against rates that no one can mean, of either kind.
+        let turn = turn.min(self.card.longest.as_secs_f64()).max(LEAST_WAKE.as_secs_f64());
         let at = now.as_secs_f64() / turn + target.phase;
         let began = now.saturating_sub(seconds(at.fract() * turn));
         let used = self.circuits.get(&route).is_some_and(|c| c.last_sent > began);
-        (used || at.fract() > TURN_OPEN).then(|| began + seconds(turn) + LEAST_WAKE)
+        let open = (TURN_OPEN * turn).max(TURN_OPEN_LEAST);
+        (used || at.fract() * turn > open).then(|| began + seconds(turn) + LEAST_WAKE)
     }
 
     /// Whether a call may go to the target now.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -433,6 +433,28 @@
     assert!((2..=4).contains(&usual) && busy >= 20, "{usual} of 3 and {busy} of 30 in a minute");
 }
 
+#[test]
+fn a_fleet_delivers_also_where_the_listed_rate_is_nonsense() {
+    for weight in [f64::MAX, 1e300, 1e-300, f64::MIN_POSITIVE, 0.0, -4.0, f64::NAN, f64::INFINITY] {
+        let mut story = one_of_many(&[]);
+        let (target, destination) = (TargetId(1), DestinationId(9));
+        let listing = Listing {
+            target,
+            destination,
+            standing: Standing::Active,
+            weight: Some(weight),
+            zone: "z",
+            kind: "apart",
+        };
+        story.forwarder.list_begins(true);
+        story.forwarder.listed(listing);
+        story.forwarder.list_ends();
+        story.hand_in("a", "note", 9);
+        let sent = (0..199).find_map(|_| story.sent_after(ms(100)).pop());
+        assert_eq!(sent.as_deref(), Some("a"), "listed with {weight}");
+    }
+}
+
 #[test]
 fn many_that_start_again_together_do_not_send_all_they_owe_in_one_wave() {
     let mut fleet: Vec<Story> = (0..60).map(|seed| one_of_a_fleet(60, seed, &[(1, 9, "apart")])).collect();
