Answers' load reports, exact rates and prices reach the module; no turns where limits are told

Checked: the turns of large fleets (next_turn in src/control.rs) come once in up to the longest outer limit at 200 forwarders, also at ground-handlers, which have no limit at all.

The adapter drops no load report any more; terms tell nominal from rough rates, fees and the price of connections.

--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -575,8 +575,15 @@
             tip_after: Some(self.returning.tip_after.0),
             key_rest: Some(fleet.key_rest.0),
             ask_within: None,
-            weights_are_rates: self.list.weights == Weights::Rates,
+            weights: match self.list.weights {
+                Weights::Rates => reeddock::Weights::RoughRates,
+                _ => reeddock::Weights::Untold,
+            },
+            answers_report: false,
+            connection_idle: None,
             cross_zone_price: None,
+            connection_price: None,
+            zone_fees: Vec::new(),
         }
     }
 }
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use reeddock::{CategoryTerms, Effect, Group, Terms};
+use reeddock::{CategoryTerms, Effect, Group, LimitReport, Terms, Weights};
 use serde_json::{Map, Value};
 
 /// What the module is told at start.
@@ -67,8 +67,43 @@
         key_rest: span(guarantees.get("keyQuietUs")),
         ask_within: span(guarantees.get("mustAskInUs"))
             .filter(|_| info.get("discovery").and_then(Value::as_str) == Some("subscribe")),
-        weights_are_rates: matches!(info.get("weights").and_then(Value::as_str), Some("nominal" | "rough")),
+        weights: match info.get("weights").and_then(Value::as_str) {
+            Some("nominal") => Weights::Rates,
+            Some("rough") => Weights::RoughRates,
+            _ => Weights::Untold,
+        },
+        answers_report: ReportFields::of(info).is_some(),
+        connection_idle: span(limits.get("connIdleUs")),
         cross_zone_price: number(part("tariffs").get("crossZone")),
+        connection_price: number(part("tariffs").get("handshake")),
+        zone_fees: (list(info.get("areas")).iter().zip(list(family.get("zoneFee"))))
+            .filter_map(|(zone, fee)| fee.as_f64().map(|fee| (text(Some(zone)), fee)))
+            .collect(),
+    }
+}
+
+/// Where the two values of a limit stand in a load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportFields {
+    left: usize,
+    limit: usize,
+}
+
+impl ReportFields {
+    /// None where answers carry no report, or one that does not tell both.
+    pub fn of(info: &Map<String, Value>) -> Option<ReportFields> {
+        let report = info.get("report")?;
+        let fields = report.get("fields")?.as_array()?;
+        let place = |name| fields.iter().position(|field| field.as_str() == Some(name));
+        let told = report.get("how").and_then(Value::as_str) == Some("piggyback");
+        Some(ReportFields { left: place("x0")?, limit: place("x1")? }).filter(|_| told)
+    }
+
+    /// What is missing, or is no share or no rate, is read as untold.
+    pub fn read(self, values: &[Value]) -> Option<LimitReport> {
+        let at =
+            |place: usize| values.get(place).and_then(Value::as_f64).filter(|v| v.is_finite() && *v >= 0.0);
+        Some(LimitReport { left: at(self.left)?.min(1.0), limit: at(self.limit)? })
     }
 }
 
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -10,7 +10,7 @@
     DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, Listing, Outcome, PeerId, Standing,
     TargetId,
 };
-use reeddock_terms::terms;
+use reeddock_terms::{terms, ReportFields};
 use serde_json::{json, Value};
 
 /// What is wrong with a batch, in one line.
@@ -19,10 +19,25 @@
 /// All instances of one process; they share nothing but the numbered lists, which the wire shares.
 #[derive(Default)]
 pub struct Wire {
-    instances: BTreeMap<u64, Forwarder>,
+    instances: BTreeMap<u64, Instance>,
     lists: BTreeMap<u64, Vec<Value>>,
 }
 
+struct Instance {
+    forwarder: Forwarder,
+    fields: Option<ReportFields>,
+}
+
+impl Instance {
+    /// What stands beside an outcome, told before it.
+    fn reported(&mut self, now: Duration, target: TargetId, usage: Option<&Value>) {
+        let values = usage.and_then(Value::as_array);
+        if let Some(report) = self.fields.zip(values).and_then(|(fields, values)| fields.read(values)) {
+            self.forwarder.reported(now, target, report);
+        }
+    }
+}
+
 /// Collects what one instance asks for.
 #[derive(Default)]
 struct Actions(Vec<Value>);
@@ -178,7 +193,8 @@
                 "Attach" => {
                     let info = event.at(1).and_then(Value::as_object).ok_or_else(|| event.wrong(1))?;
                     let forwarder = Forwarder::open(now, terms(event.whole(0)?, info), host);
-                    self.instances.insert(instance, forwarder);
+                    let fields = ReportFields::of(info);
+                    self.instances.insert(instance, Instance { forwarder, fields });
                 }
                 "Retire" => {
                     self.instances.remove(&instance);
@@ -186,27 +202,35 @@
                     host.0.clear();
                 }
                 _ => {
-                    let forwarder = self.instances.get_mut(&instance);
-                    let forwarder = forwarder
+                    let attached = self.instances.get_mut(&instance);
+                    let attached = attached
                         .ok_or_else(|| format!("{}: instance {instance} is not attached", event.0))?;
-                    tell(forwarder, &self.lists, &event, now, host)?;
+                    tell(attached, &self.lists, &event, now, host)?;
                 }
             }
         }
-        if let Some(forwarder) = self.instances.get_mut(&instance) {
-            forwarder.turn(now, host);
+        if let Some(attached) = self.instances.get_mut(&instance) {
+            attached.forwarder.turn(now, host);
         }
         Ok(())
     }
 }
 
 fn tell(
-    forwarder: &mut Forwarder,
+    attached: &mut Instance,
     lists: &BTreeMap<u64, Vec<Value>>,
     event: &Event,
     now: Duration,
     host: &mut Actions,
 ) -> Result<(), Fault> {
+    if let Some((target, usage)) = match event.0 {
+        "Settled" => Some((event.target(3)?, event.at(7))),
+        "HealthResult" => Some((event.target(0)?, event.at(3))),
+        _ => None,
+    } {
+        attached.reported(now, target, usage);
+    }
+    let forwarder = &mut attached.forwarder;
     match event.0 {
         "Sync" => match event.text(0)? {
             "X" => forwarder.list_failed(host),
--- a/src/control.rs
+++ b/src/control.rs
@@ -132,7 +132,16 @@
             tip_after: terms.tip_after.unwrap_or(Duration::from_secs(2)),
             key_rest: terms.key_rest.unwrap_or_default(),
             ask_within: terms.ask_within,
-            weights_are_rates: terms.weights_are_rates,
+            overlisted: match terms.weights {
+                Weights::Untold => None,
+                Weights::RoughRates => Some(OVERLISTED),
+                Weights::Rates => Some(1.0),
+            },
+            answers_report: terms.answers_report,
+            connection_idle: terms.connection_idle.unwrap_or_default(),
+            cross_zone_price: finite(terms.cross_zone_price, 0.0),
+            connection_price: finite(terms.connection_price, 0.0),
+            zone_fees: terms.zone_fees,
         }
     }
 }
@@ -213,7 +222,7 @@
         let seen = d.arrivals as f64 / elapsed / targets;
         // A listed rate may be half too high; capacity lies over it, and a small sample errs by more.
         let sharing = if self.apart(target) { 1.0 } else { targets };
-        let listed = target.weight.filter(|_| self.card.weights_are_rates);
+        let listed = target.weight.filter(|_| self.card.overlisted.is_some());
         listed.map_or(seen, |w| seen.max(w / self.card.forwarders / sharing))
     }
 
@@ -237,7 +246,10 @@
 
     /// Whether the list tells how many calls with many envelopes a route takes.
     fn listed_full(&self, target: &Target) -> bool {
-        self.card.weights_are_rates && self.apart(target) && self.batch(target) > 1 && target.weight.is_some()
+        self.card.overlisted.is_some()
+            && self.apart(target)
+            && self.batch(target) > 1
+            && target.weight.is_some()
     }
 
     /// Guard for rule 4. Symptom: a target that failed calls, or refused all, may be on its way back, and
@@ -305,7 +317,10 @@
     /// are soon over, so that the unused ones are not kept for the clump. It costs part of a promise where the
     /// limit is far. None: a call may go; else the next turn.
     fn next_turn(&self, route: Route, target: &Target, now: Duration) -> Option<Duration> {
-        let paced = self.card.many && self.card.weights_are_rates && self.apart(target);
+        let paced = self.card.many
+            && self.card.overlisted.is_some()
+            && self.apart(target)
+            && !self.card.answers_report;
         let listed = target.weight.filter(|_| paced)?;
         // One that carries several times what others do has that many turns.
         let times = (self.part(target, now) * self.card.forwarders / listed).round().max(1.0);
@@ -366,6 +381,10 @@
     /// What one outcome tells of the route and the target.
     fn learn(&mut self, dispatch: &Dispatch, now: Duration, outcome: Outcome) {
         let (route, id, sent) = (dispatch.route, dispatch.target, dispatch.sent);
+        if let Some(target) = self.targets.get_mut(&id) {
+            let answered = matches!(outcome, Outcome::Completed | Outcome::Error | Outcome::Full(_));
+            target.answered = answered.then_some(now);
+        }
         let Some(target) = self.targets.get(&id) else { return };
         let recovery_delay = self.recovery_delay(target, now);
         let of_route = self.members(route);
@@ -513,13 +532,18 @@
         2 * self.calls.len() < self.card.slots && (waited || idle >= seconds(1.0 / usual))
     }
 
+    /// Whether a connection to the target is likely to stand idle.
+    fn connected(&self, target: &Target, now: Duration) -> bool {
+        target.calls_out == 0 && target.answered.is_some_and(|at| now < at + self.card.connection_idle)
+    }
+
     /// Two drawn at random, the one that the forwarder's own counts favour is taken.
-    fn choose(&mut self, able: &[TargetId], category: usize) -> TargetId {
+    fn choose(&mut self, able: &[TargetId], category: usize, now: Duration) -> TargetId {
         // Departure: where routes apart have listed rates, they are drawn by these, as nothing else tells a
         // forwarder that sees little of each that one takes a third of what its neighbour takes.
         let rate = |id: &TargetId| {
             let t = &self.targets[id];
-            t.weight.filter(|_| self.card.weights_are_rates && self.apart(t)).unwrap_or(1.0)
+            t.weight.filter(|_| self.card.overlisted.is_some() && self.apart(t)).unwrap_or(1.0)
         };
         let rates: Vec<f64> = able.iter().map(rate).collect();
         let total: f64 = rates.iter().sum();
@@ -532,11 +556,19 @@
             able[passed.unwrap_or(able.len() - 1)]
         };
         let (a, b) = (draw(), draw());
-        let burden = |id: TargetId| {
-            let t = &self.targets[&id];
-            (strikes(t, category).min(3), t.zone != self.card.zone, t.calls_out)
+        let card = &self.card;
+        let price = |t: &Target| {
+            let fee = card.zone_fees.iter().find(|f| f.0 == t.zone && self.apart(t)).map_or(0.0, |f| f.1);
+            let crossing = if t.zone == card.zone { 0.0 } else { card.cross_zone_price };
+            let connecting = if self.connected(t, now) { 0.0 } else { card.connection_price };
+            fee + crossing + connecting
         };
-        std::cmp::min_by_key(a, b, |t| burden(*t))
+        let burden = |id: &TargetId| {
+            let t = &self.targets[id];
+            ((strikes(t, category).min(3), (price(t) * 1e6) as u64, t.calls_out), *id != a)
+        };
+        let kept = able.iter().copied().filter(|id| self.connected(&self.targets[id], now));
+        kept.chain([a, b]).min_by_key(burden).unwrap_or(a)
     }
 
     fn time_out(&self, envelope: &Envelope, route: Route, trial: bool, now: Duration) -> Duration {
@@ -735,7 +767,7 @@
         if able.iter().any(rested) {
             able.retain(rested);
         }
-        let target = self.choose(&able, category);
+        let target = self.choose(&able, category, now);
         let leave @ (route, _) = open[&target];
         // Many envelopes in one call push a cold target more than one does.
         let fits =
@@ -1052,6 +1084,14 @@
         }
     }
 
+    /// What an answer or a probe told of the limit of its target's route; to be told before the outcome.
+    pub fn reported(&mut self, now: Duration, target: TargetId, report: LimitReport) {
+        let Some(route) = self.targets.get(&target).map(|t| self.route_of(target, t)) else { return };
+        let circuit = self.circuits.entry(route).or_default();
+        circuit.report = Some(report);
+        let _ = now;
+    }
+
     /// Rule 6. Each envelope of a call may be the one that is told to wait, or its answer speaks to them all.
     pub(crate) fn asked_to_wait(&mut self, now: Duration, route: Route, wait: Duration) {
         let Some(circuit) = self.circuits.get_mut(&route) else { return };
--- a/src/host.rs
+++ b/src/host.rs
@@ -64,6 +64,26 @@
     }
 }
 
+/// What an answer or a probe told of the limit of its route: late, and a little noisy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitReport {
+    /// Share of the limit that was left.
+    pub left: f64,
+    /// Calls a second that it allows; 0 where there is none.
+    pub limit: f64,
+}
+
+/// What the list's weights are.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Weights {
+    #[default]
+    Untold,
+    /// Calls a second that a route takes, up to half too high or too low.
+    RoughRates,
+    /// The same, as it is on a usual day.
+    Rates,
+}
+
 /// How the list of targets speaks of one of them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -129,9 +149,16 @@
     pub key_rest: Option<Duration>,
     /// The list comes only when asked for, and must be asked for within this time.
     pub ask_within: Option<Duration>,
-    /// Whether the list's weights are rates in calls a second.
-    pub weights_are_rates: bool,
+    pub weights: Weights,
+    /// Answers tell of the limit of their route, where it has one.
+    pub answers_report: bool,
+    /// How long an idle connection is kept.
+    pub connection_idle: Option<Duration>,
+    /// Prices of one dispatch that crosses zones, of one new connection, and of what routes apart take on, by
+    /// zone.
     pub cross_zone_price: Option<f64>,
+    pub connection_price: Option<f64>,
+    pub zone_fees: Vec<(String, f64)>,
 }
 
 /// What the module asks of the program that hosts it. All of it takes effect at the time of the call.
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,7 +8,8 @@
 use rand_pcg::Pcg32;
 
 use crate::host::{
-    DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, Listing, Outcome, PeerId, Standing, TargetId,
+    DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, LimitReport, Listing, Outcome, PeerId,
+    Standing, TargetId,
 };
 
 /// What comes next for an envelope once its dispatch has ended; the end is handed to it.
@@ -56,7 +57,14 @@
     pub(crate) tip_after: Duration,
     pub(crate) key_rest: Duration,
     pub(crate) ask_within: Option<Duration>,
-    pub(crate) weights_are_rates: bool,
+    /// How far a listed rate may be above the true one; none where none is listed.
+    pub(crate) overlisted: Option<f64>,
+    /// Answers tell of their route's limit.
+    pub(crate) answers_report: bool,
+    pub(crate) connection_idle: Duration,
+    pub(crate) cross_zone_price: f64,
+    pub(crate) connection_price: f64,
+    pub(crate) zone_fees: Vec<(String, f64)>,
 }
 
 /// Lives from a dispatch to its outcome.
@@ -135,6 +143,8 @@
     pub trouble: Option<Duration>,
     pub pushes: VecDeque<(Duration, f64)>,
     pub last_sent: Duration,
+    /// When its last call ended, if that ended with an answer, which leaves a connection idle.
+    pub answered: Option<Duration>,
 }
 
 /// The record of the design for one route, and what the guards remember of it.
@@ -159,6 +169,8 @@
     pub calls_out: usize,
     pub mean: Option<f64>,
     pub last_answer: Duration,
+    /// What was last told of its limit.
+    pub report: Option<LimitReport>,
 }
 
 /// What waits for one destination.
@@ -308,6 +320,7 @@
             trouble: None,
             pushes: VecDeque::new(),
             last_sent: Duration::ZERO,
+            answered: None,
         });
         let before = std::mem::replace(&mut target.destination, listing.destination);
         target.standing = listing.standing;
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -91,7 +91,7 @@
         dispatch_cap: Some(6),
         come_back: Some(ms(3000)),
         key_rest: Some(ms(3000)),
-        weights_are_rates: true,
+        weights: Weights::RoughRates,
         ..Default::default()
     }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -634,7 +634,7 @@
         fall_multiple: Some(f64::INFINITY),
         tip_after: zero,
         warm_within: zero,
-        weights_are_rates: true,
+        weights: Weights::RoughRates,
         ..Default::default()
     };
     for slots in [Some(0), None] {
