--- a/crates/forwarder/tests/loopback.rs
+++ b/crates/forwarder/tests/loopback.rs
@@ -267,7 +267,7 @@
             room: Some(50),
             dispatch_cap: Some(6),
             come_back: Some(ms(3000)),
-            weights: Weights::RoughRates,
+            weights: reeddock::Weights::RoughRates,
             ..Default::default()
         };
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
--- a/src/control.rs
+++ b/src/control.rs
@@ -158,6 +158,11 @@
 }
 
 impl Circuit {
+    /// Share of its limit that was left by the last report; all of it where there is no limit.
+    fn left(&self) -> f64 {
+        self.report.map_or(0.0, |r| if r.limit > 0.0 { r.left } else { 0.0 })
+    }
+
     /// The design's question before each send. It changes nothing: the re-arming is in [`Circuit::re_arm`],
     /// as a trial that finds no envelope to carry it must not push the next one back.
     fn deliver(&self, now: Duration) -> Leave {
@@ -412,7 +417,8 @@
                 // Whatever the route's targets showed before, they have only now come back.
                 all_troubled = circuit.restrained_until.is_some() && troubled;
                 circuit.success(now);
-                circuit.spacing *= if card.many { SELDOM_SHRINK } else { SPACING_SHRINK };
+                let shrink = if card.many { SELDOM_SHRINK } else { SPACING_SHRINK };
+                circuit.spacing *= shrink * (1.0 - circuit.left());
                 circuit.time_outs = 0;
                 circuit.told_wait /= 2;
                 circuit.last_answer = now;
@@ -432,7 +438,10 @@
                 // together, and all come back at once, over the limit again. Each is put off by chance.
                 let told = wait.unwrap_or(circuit.told_wait);
                 if card.many && sent >= circuit.spaced_at {
-                    let (first, widest) = (OVERLISTED / part, WIDEST_GAPS / part);
+                    let (mut first, widest) = (OVERLISTED / part, WIDEST_GAPS / part);
+                    if card.answers_report {
+                        first = first.min(card.recovery_delay.as_secs_f64());
+                    }
                     let spacing = (circuit.spacing * SPACING_GROWTH).clamp(first, widest);
                     // Longer than an envelope lasts it would be no spacing but an end.
                     circuit.spacing = spacing.min(card.longest.as_secs_f64() / 2.0);
@@ -565,7 +574,11 @@
         };
         let burden = |id: &TargetId| {
             let t = &self.targets[id];
-            ((strikes(t, category).min(3), (price(t) * 1e6) as u64, t.calls_out), *id != a)
+            let mean = self.circuits.get(&self.route_of(*id, t)).and_then(|c| c.mean);
+            let slow = (mean.or(self.pace).unwrap_or(1.0).max(0.001) / self.pace.unwrap_or(1.0).max(0.001))
+                .log2()
+                .max(0.0) as u64;
+            ((strikes(t, category).min(3), slow, (price(t) * 1e6) as u64, t.calls_out), *id != a)
         };
         let kept = able.iter().copied().filter(|id| self.connected(&self.targets[id], now));
         kept.chain([a, b]).min_by_key(burden).unwrap_or(a)
@@ -595,13 +608,14 @@
         for id in self.waiting.clone() {
             self.forget_old(id, now);
         }
-        self.answer_hopeless(now, host, &mut wake);
         self.make_room(now, host);
         self.forget_gone(now, self.card.longest + RECORD_MARGIN);
         self.keys.retain(|_, line| !line.line.is_empty() || now < line.rest_until);
         let waited: BTreeMap<_, _> = self.waiting.iter().map(|d| (*d, self.waited(*d, now))).collect();
         while self.calls.len() < self.card.slots {
-            let claim = |id: &DestinationId| ((self.calls_out(*id) + 1) as f64 / waited[id]) as u64;
+            let claim = |id: &DestinationId| {
+                ((self.calls_out(*id) + 1) as f64 * self.slowness(*id) / waited[id]) as u64
+            };
             let turn = |id: &DestinationId| (claim(id), self.destinations[id].last_turn, *id);
             let mut turns: Vec<_> = self.waiting.iter().map(turn).collect();
             turns.sort();
@@ -609,6 +623,7 @@
                 break;
             }
         }
+        self.answer_hopeless(now, host, &mut wake);
         if self.calls.len() >= self.card.slots {
             self.free_slot(now, host, &mut wake);
         }
@@ -621,6 +636,12 @@
         }
     }
 
+    fn slowness(&self, destination: DestinationId) -> f64 {
+        let pace = self.pace.unwrap_or(1.0).max(0.001);
+        let means = self.circuits_of(destination).filter_map(|c| c.mean);
+        means.reduce(f64::min).map_or(1.0, |m| (m / pace).max(1.0))
+    }
+
     /// How long a destination's oldest envelope that may still keep its promise has waited, as a part of it.
     fn waited(&self, destination: DestinationId, now: Duration) -> f64 {
         let held = self.destinations[&destination].held.iter().filter_map(|id| self.envelopes.get(id));
@@ -983,7 +1004,14 @@
         let rate = &self.card.categories[category];
         let key = key.filter(|_| rate.ordered);
         // Counted from the first hand-in, which a client's repeat shares.
-        let promised_by = outer_limit.saturating_sub(rate.outer_limit.saturating_sub(rate.promised));
+        // One that comes with less time than the promise is no late repeat: nobody wants it after its limit.
+        let patience = outer_limit.saturating_sub(now);
+        let late = if patience <= rate.promised {
+            Duration::ZERO
+        } else {
+            rate.outer_limit.saturating_sub(rate.promised)
+        };
+        let promised_by = outer_limit.saturating_sub(late);
         let tenant = tenant.and_then(|t| self.card.tenants.iter().position(|n| n.0 == t));
         let over_share = tenant.is_some_and(|t| self.over_share(t, now));
         self.take(id, Envelope::new(category, key, destination, promised_by, outer_limit, over_share), now);
