--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -222,7 +222,7 @@
                 self.forwarder.told_to_wait(now, target, wait);
             }
             Event::List(part) => self.list(part),
-            Event::ListFailed => self.forwarder.list_failed(&mut self.state.desk),
+            Event::ListFailed => self.forwarder.list_failed(now),
             Event::Told(ids) => {
                 self.state.untold = self.state.untold.saturating_sub(ids.len());
                 self.state.records.extend(ids.iter().map(|id| Record::Told { id: id.0.to_string() }));
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -233,7 +233,7 @@
     let forwarder = &mut attached.forwarder;
     match event.0 {
         "Sync" => match event.text(0)? {
-            "X" => forwarder.list_failed(host),
+            "X" => forwarder.list_failed(now),
             how @ ("D" | "F" | "C") => {
                 let slot = event.whole(2)?;
                 let lines =
--- a/src/control.rs
+++ b/src/control.rs
@@ -36,6 +36,7 @@
 /// one call in eight may be refused while the limit is being felt for.
 const SPACING_GROWTH: f64 = 1.6;
 const SPACING_SHRINK: f64 = 0.93;
+const OPAQUE_GROWTH: f64 = 4.0;
 /// First spacing, in usual gaps between a forwarder's calls to the route.
 const FIRST_GAP: f64 = 0.5;
 /// Where forwarders are many, their turns at a route with a listed rate, in gaps between the calls that are
@@ -69,10 +70,6 @@
 const EFFECTFUL_PATIENCE: f64 = 2.0;
 const TIME_OUT_GROWTH: f64 = 1.5;
 
-/// Share of a kind's calls that find no connection, in the running mean, from which idle ones are closed.
-const CROWDED: f64 = 0.01;
-const CROWDED_STEP: f64 = 0.02;
-
 /// Part of its promise from which a line's wait weighs against its calls out. Symptom: slots are short, and a
 /// long line gets no more than any other. A slow one does not get all, and others fill their calls meanwhile.
 const LINE_WAITS: f64 = 0.1;
@@ -100,6 +97,8 @@
                     promised: c.promised.unwrap_or(outer_limit).min(outer_limit),
                     outer_limit,
                     ordered: c.ordered,
+                    credit: finite(c.credit, 1.0),
+                    late_credit: finite(c.late_credit, 0.0).min(1.0),
                     place: credits.iter().filter(|other| **other > finite(c.credit, 1.0)).count(),
                 }
             })
@@ -138,6 +137,8 @@
                 Weights::Rates => Some(1.0),
             },
             answers_report: terms.answers_report,
+            halving: terms.halving,
+            over_share_credit: finite(terms.over_share_credit, 0.0).min(1.0),
             connection_idle: terms.connection_idle.unwrap_or_default(),
             cross_zone_price: finite(terms.cross_zone_price, 0.0),
             connection_price: finite(terms.connection_price, 0.0),
@@ -273,23 +274,16 @@
         if share >= 1.0 {
             return Ok(f64::MAX);
         }
-        // Departure: where calls carry many envelopes and all targets of a shared destination are in trouble,
-        // these have one budget, for fewer and fuller calls.
-        let mut pool: Vec<&Target> = self.active(target.destination).map(|(_, t)| t).collect();
-        if self.apart(target) || self.batch(target) < 2 || pool.iter().any(|t| t.trouble.is_none()) {
-            pool = vec![target];
-        }
-        let usual = self.usual_rate(target, now) * pool.len() as f64;
+        let usual = self.usual_rate(target, now);
         let per_second = PUSH_OF_USUAL * card.fall_multiple * share * usual;
         let budget = per_second * card.tip_after.as_secs_f64();
         if budget < SPACED_BUDGET {
             // So few calls for each span are this forwarder's part that whole ones would waste much of it.
-            let last = pool.iter().filter_map(|t| t.pushes.back()).max_by_key(|p| p.0);
+            let last = target.pushes.back();
             let next = last.map(|p| p.0 + seconds(p.1 / per_second.max(0.01)));
             return next.filter(|at| now < *at).map_or(Ok(budget.max(1.0)), Err);
         }
-        let pushes = pool.iter().flat_map(|t| &t.pushes);
-        let recent = pushes.filter(|p| now.saturating_sub(p.0) < card.tip_after);
+        let recent = target.pushes.iter().filter(|p| now.saturating_sub(p.0) < card.tip_after);
         let left = budget - recent.clone().map(|p| p.1).sum::<f64>();
         match recent.map(|p| p.0).min() {
             Some(oldest) if left < 1.0 => Err(oldest + card.tip_after),
@@ -437,12 +431,14 @@
                 // Symptom: many forwarders are refused at about the same time, or told waits that end
                 // together, and all come back at once, over the limit again. Each is put off by chance.
                 let told = wait.unwrap_or(circuit.told_wait);
+                let used_up = circuit.report.is_some_and(|r| r.limit > 0.0 && r.left < 0.5);
                 if card.many && sent >= circuit.spaced_at {
                     let (mut first, widest) = (OVERLISTED / part, WIDEST_GAPS / part);
                     if card.answers_report {
                         first = first.min(card.recovery_delay.as_secs_f64());
                     }
-                    let spacing = (circuit.spacing * SPACING_GROWTH).clamp(first, widest);
+                    let growth = if card.answers_report && !used_up { OPAQUE_GROWTH } else { SPACING_GROWTH };
+                    let spacing = (circuit.spacing * growth).clamp(first, widest);
                     // Longer than an envelope lasts it would be no spacing but an end.
                     circuit.spacing = spacing.min(card.longest.as_secs_f64() / 2.0);
                     let drawn = 0.5 + self.chance.random::<f64>();
@@ -450,7 +446,7 @@
                     circuit.spaced_at = now;
                 }
                 // A short wait is told by a limit, which is no outage: there is room at its end.
-                let limited = card.many && !told.is_zero() && told < card.tip_after;
+                let limited = card.many && (used_up || !told.is_zero()) && told < card.tip_after;
                 let spaced = circuit.spaced_until.saturating_sub(now);
                 circuit.fail(now, if limited { spaced } else { recovery_delay }, card);
                 // A limit lets some calls through, or tells a short wait; what refuses all for long, or says
@@ -605,6 +601,10 @@
     /// Decides all that can be decided now. To be called once everything known at this time has been told.
     pub fn turn(&mut self, now: Duration, host: &mut dyn Host) {
         let mut wake: Option<Duration> = None;
+        if self.ask_at.take_if(|at| *at <= now).is_some() {
+            host.subscribe(true);
+        }
+        sooner(&mut wake, self.ask_at);
         for id in self.waiting.clone() {
             self.forget_old(id, now);
         }
@@ -946,13 +946,31 @@
     /// least to hope for goes instead: beyond its share, then late, of the destination with most held.
     fn make_room(&mut self, now: Duration, host: &mut dyn Host) {
         while self.envelopes.len() >= self.card.room {
-            let fullest = self.waiting.iter().max_by_key(|id| self.destinations[*id].held.len());
-            let Some(id) = fullest.copied() else { return };
-            let last = self.ranked(id, now).pop().or_else(|| self.destinations[&id].held.last().cloned());
-            let Some(last) = last else { return };
-            self.give_up(&last, now, host);
+            let held = self.waiting.iter().flat_map(|d| &self.destinations[d].held);
+            let known = held.filter_map(|id| self.envelopes.get(id).map(|e| (id, e)));
+            let worth = known.map(|(id, e)| {
+                let line = self.destinations[&e.destination].held.len();
+                ((self.worth(e, now) * 1e6) as u64, usize::MAX - line, u64::MAX - e.arrival, id)
+            });
+            let Some((.., least)) = worth.min() else { return };
+            let least = least.clone();
+            self.give_up(&least, now, host);
         }
     }
+
+    /// The credit that an envelope would earn now.
+    fn worth(&self, envelope: &Envelope, now: Duration) -> f64 {
+        let rate = &self.card.categories[envelope.category];
+        let late = now.saturating_sub(envelope.promised_by).as_secs_f64();
+        let left = if self.card.halving {
+            0.5_f64.powf(late / rate.promised.as_secs_f64().max(0.001)).max(rate.late_credit)
+        } else {
+            let over = rate.outer_limit.saturating_sub(rate.promised).as_secs_f64().max(0.001);
+            1.0 - (1.0 - rate.late_credit) * (late / over).min(1.0)
+        };
+        let share = if envelope.over_share { self.card.over_share_credit } else { 1.0 };
+        rate.credit * left * share
+    }
 }
 
 // # What the host tells.
@@ -966,7 +984,7 @@
             host.subscribe(true);
         }
         let tenants = card.tenants.iter().map(|_| Tenant { balance: 0.0, since: now }).collect();
-        Forwarder::new(card, chance, tenants, now)
+        Forwarder::new(card, chance, tenants)
     }
 
     /// One line of the list of targets, between [`Forwarder::list_begins`] and [`Forwarder::list_ends`].
@@ -977,11 +995,13 @@
         self.enter(&listing, kind, earned, phase);
     }
 
-    /// Asking for the list failed; the old one stands.
-    pub fn list_failed(&mut self, host: &mut dyn Host) {
-        if self.card.ask_within.is_some() {
-            host.subscribe(true);
-        }
+    /// Asking for the list failed; the old one stands. Symptom: all ask again at once, and discovery, which
+    /// turns calls away while too many wait, answers none. Each waits longer after each failure, by chance.
+    pub fn list_failed(&mut self, now: Duration) {
+        let Some(longest) = self.card.ask_within else { return };
+        let rest = (2 * self.list_rest).clamp(self.card.recovery_delay.min(longest), longest);
+        self.list_rest = rest;
+        self.ask_at = Some(now + rest.mul_f64(0.5 + self.chance.random::<f64>()));
     }
 
     /// An envelope has been handed in; one final answer is owed from here on.
@@ -1098,9 +1118,6 @@
                 host.log(&format!("{what}: {:?}, after {outcome:?}", dispatch.route));
             }
         }
-        if call_over {
-            self.leave_connection(dispatch.target, outcome, host);
-        }
         if matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff) {
             self.rest_line(id, now + self.card.key_rest);
         }
@@ -1133,19 +1150,6 @@
         }
     }
 
-    /// Symptom: connections to targets of a kind are not made. They take only so many, and idle ones of many
-    /// forwarders fill them; where these are more than one's slots, each is closed after its call. Also eases
-    /// destinations short of memory; it can harm where none was made because the target was down.
-    fn leave_connection(&mut self, id: TargetId, outcome: Outcome, host: &mut dyn Host) {
-        let Some(target) = self.targets.get(&id) else { return };
-        let Some(crowd) = target.kind.and_then(|k| self.crowds.get_mut(k)) else { return };
-        let failed = if outcome == Outcome::NoConnection { 1.0 } else { 0.0 };
-        *crowd += CROWDED_STEP * (failed - *crowd);
-        if *crowd > CROWDED && target.calls_out == 0 && self.card.many {
-            host.close_idle(id);
-        }
-    }
-
     /// The client has withdrawn the envelope; nothing more is owed.
     pub fn withdrawn(&mut self, id: &EnvelopeId, host: &mut dyn Host) {
         self.end(id, host);
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,6 +30,9 @@
     pub(crate) promised: Duration,
     pub(crate) outer_limit: Duration,
     pub(crate) ordered: bool,
+    pub(crate) credit: f64,
+    /// Share of it that is left at the outer limit.
+    pub(crate) late_credit: f64,
     /// Categories by falling credit; those of equal credit share a place.
     pub(crate) place: usize,
 }
@@ -61,6 +64,9 @@
     pub(crate) overlisted: Option<f64>,
     /// Answers tell of their route's limit.
     pub(crate) answers_report: bool,
+    /// Credit halves with each further promised time, and does not fall evenly.
+    pub(crate) halving: bool,
+    pub(crate) over_share_credit: f64,
     pub(crate) connection_idle: Duration,
     pub(crate) cross_zone_price: f64,
     pub(crate) connection_price: f64,
@@ -227,11 +233,11 @@
     /// Running mean of all response times, for routes that have none of their own, and the last answer.
     pub pace: Option<f64>,
     pub last_answer: Duration,
-    /// For each kind of destination, the share of calls that found no connection.
-    pub crowds: Vec<f64>,
     /// Targets named so far by a whole list that is being told.
     pub telling: Option<BTreeSet<TargetId>>,
-    pub asked_list: Duration,
+    /// When to ask for the list again, and how long it rested after the last failure.
+    pub ask_at: Option<Duration>,
+    pub list_rest: Duration,
     pub counter: u64,
     /// No log line before this time.
     pub log_after: Duration,
@@ -241,8 +247,7 @@
 }
 
 impl Forwarder {
-    pub(crate) fn new(card: RateCard, chance: Pcg32, tenants: Vec<Tenant>, now: Duration) -> Forwarder {
-        let crowds = vec![0.0; card.kinds.len()];
+    pub(crate) fn new(card: RateCard, chance: Pcg32, tenants: Vec<Tenant>) -> Forwarder {
         Forwarder {
             card,
             chance,
@@ -257,9 +262,9 @@
             tenants,
             pace: None,
             last_answer: Duration::ZERO,
-            crowds,
             telling: None,
-            asked_list: now,
+            ask_at: None,
+            list_rest: Duration::ZERO,
             counter: 0,
             log_after: Duration::ZERO,
             wake_at: None,
@@ -269,6 +274,7 @@
 
     /// The list of targets is about to be told, whole or only what changed.
     pub fn list_begins(&mut self, whole: bool) {
+        self.list_rest = Duration::ZERO;
         self.telling = whole.then(Default::default);
     }
 
