--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -30,10 +30,10 @@
 
 impl Instance {
     /// What stands beside an outcome, told before it.
-    fn reported(&mut self, now: Duration, target: TargetId, usage: Option<&Value>) {
+    fn reported(&mut self, target: TargetId, usage: Option<&Value>) {
         let values = usage.and_then(Value::as_array);
         if let Some(report) = self.fields.zip(values).and_then(|(fields, values)| fields.read(values)) {
-            self.forwarder.reported(now, target, report);
+            self.forwarder.reported(target, report);
         }
     }
 }
@@ -228,7 +228,7 @@
         "HealthResult" => Some((event.target(0)?, event.at(3))),
         _ => None,
     } {
-        attached.reported(now, target, usage);
+        attached.reported(target, usage);
     }
     let forwarder = &mut attached.forwarder;
     match event.0 {
--- a/src/control.rs
+++ b/src/control.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -36,7 +37,10 @@
 /// one call in eight may be refused while the limit is being felt for.
 const SPACING_GROWTH: f64 = 1.6;
 const SPACING_SHRINK: f64 = 0.93;
+/// The same for refusals that no limit explains: a full queue, or what is down and returns cold.
 const OPAQUE_GROWTH: f64 = 4.0;
+/// A refusal is a limit's where less of that was left. Reports are up to a second old.
+const USED_UP: f64 = 0.5;
 /// First spacing, in usual gaps between a forwarder's calls to the route.
 const FIRST_GAP: f64 = 0.5;
 /// Where forwarders are many, their turns at a route with a listed rate, in gaps between the calls that are
@@ -159,11 +163,6 @@
 }
 
 impl Circuit {
-    /// Share of its limit that was left by the last report; all of it where there is no limit.
-    fn left(&self) -> f64 {
-        self.report.map_or(0.0, |r| if r.limit > 0.0 { r.left } else { 0.0 })
-    }
-
     /// The design's question before each send. It changes nothing: the re-arming is in [`Circuit::re_arm`],
     /// as a trial that finds no envelope to carry it must not push the next one back.
     fn deliver(&self, now: Duration) -> Leave {
@@ -228,8 +227,13 @@
         let seen = d.arrivals as f64 / elapsed / targets;
         // A listed rate may be half too high; capacity lies over it, and a small sample errs by more.
         let sharing = if self.apart(target) { 1.0 } else { targets };
-        let listed = target.weight.filter(|_| self.card.overlisted.is_some());
-        listed.map_or(seen, |w| seen.max(w / self.card.forwarders / sharing))
+        self.rate(target).map_or(seen, |w| seen.max(w / self.card.forwarders / sharing))
+    }
+
+    /// Calls a second that a target's route takes from all: as listed, or less if it tells so.
+    fn rate(&self, target: &Target) -> Option<f64> {
+        let listed = target.weight.filter(|_| self.card.overlisted.is_some())?;
+        Some(target.limit.map_or(listed, |limit| listed.min(limit)))
     }
 
     /// Calls a second to a route that are this forwarder's part of what it takes.
@@ -243,7 +247,7 @@
         let lately = self.destinations.get(&target.destination);
         let lately = lately.map_or(0.0, |d| (d.lately_at(now, span) - 1.0).max(0.0));
         let lately = lately / span.as_secs_f64().max(0.001) * members / sharing;
-        let part = match target.weight.filter(|_| self.listed_full(target)) {
+        let part = match self.rate(target).filter(|_| self.listed_full(target)) {
             Some(calls) => (calls / self.card.forwarders).max(lately / self.batch(target) as f64),
             None => usual.max(lately),
         };
@@ -252,10 +256,7 @@
 
     /// Whether the list tells how many calls with many envelopes a route takes.
     fn listed_full(&self, target: &Target) -> bool {
-        self.card.overlisted.is_some()
-            && self.apart(target)
-            && self.batch(target) > 1
-            && target.weight.is_some()
+        self.apart(target) && self.batch(target) > 1 && self.rate(target).is_some()
     }
 
     /// Guard for rule 4. Symptom: a target that failed calls, or refused all, may be on its way back, and
@@ -316,11 +317,8 @@
     /// are soon over, so that the unused ones are not kept for the clump. It costs part of a promise where the
     /// limit is far. None: a call may go; else the next turn.
     fn next_turn(&self, route: Route, target: &Target, now: Duration) -> Option<Duration> {
-        let paced = self.card.many
-            && self.card.overlisted.is_some()
-            && self.apart(target)
-            && !self.card.answers_report;
-        let listed = target.weight.filter(|_| paced)?;
+        let paced = self.card.many && self.apart(target) && !self.card.answers_report;
+        let listed = self.rate(target).filter(|_| paced)?;
         // One that carries several times what others do has that many turns.
         let times = (self.part(target, now) * self.card.forwarders / listed).round().max(1.0);
         let apart = if self.listed_full(target) { FULL_TURN } else { TURN };
@@ -412,7 +410,7 @@
                 all_troubled = circuit.restrained_until.is_some() && troubled;
                 circuit.success(now);
                 let shrink = if card.many { SELDOM_SHRINK } else { SPACING_SHRINK };
-                circuit.spacing *= shrink * (1.0 - circuit.left());
+                circuit.spacing *= shrink * (1.0 - circuit.left.unwrap_or_default());
                 circuit.time_outs = 0;
                 circuit.told_wait /= 2;
                 circuit.last_answer = now;
@@ -431,7 +429,7 @@
                 // Symptom: many forwarders are refused at about the same time, or told waits that end
                 // together, and all come back at once, over the limit again. Each is put off by chance.
                 let told = wait.unwrap_or(circuit.told_wait);
-                let used_up = circuit.report.is_some_and(|r| r.limit > 0.0 && r.left < 0.5);
+                let used_up = circuit.left.is_some_and(|left| left < USED_UP);
                 if card.many && sent >= circuit.spaced_at {
                     let (mut first, widest) = (OVERLISTED / part, WIDEST_GAPS / part);
                     if card.answers_report {
@@ -542,42 +540,37 @@
         target.calls_out == 0 && target.answered.is_some_and(|at| now < at + self.card.connection_idle)
     }
 
-    /// Two drawn at random, the one that the forwarder's own counts favour is taken.
+    /// How many times as long as any call one to the route takes; no less than once.
+    fn slowness(&self, circuit: Option<&Circuit>) -> f64 {
+        let pace = self.pace.unwrap_or(1.0).max(0.001);
+        (circuit.and_then(|c| c.mean).unwrap_or(pace) / pace).max(1.0)
+    }
+
+    /// Points that a call to the target costs: its route's fee, crossing zones, and a new connection.
+    fn price(&self, target: &Target, now: Duration) -> f64 {
+        let card = &self.card;
+        let fee = card.zone_fees.iter().find(|f| f.0 == target.zone && self.apart(target));
+        let crossing = if target.zone == card.zone { 0.0 } else { card.cross_zone_price };
+        let connecting = if self.connected(target, now) { 0.0 } else { card.connection_price };
+        fee.map_or(0.0, |f| f.1) + crossing + connecting
+    }
+
+    /// Of two drawn at random, and those with an idle connection, the one that the forwarder's own counts
+    /// favour: not struck, not twice as slow, then by price.
     fn choose(&mut self, able: &[TargetId], category: usize, now: Duration) -> TargetId {
         // Departure: where routes apart have listed rates, they are drawn by these, as nothing else tells a
         // forwarder that sees little of each that one takes a third of what its neighbour takes.
-        let rate = |id: &TargetId| {
-            let t = &self.targets[id];
-            t.weight.filter(|_| self.card.overlisted.is_some() && self.apart(t)).unwrap_or(1.0)
-        };
-        let rates: Vec<f64> = able.iter().map(rate).collect();
-        let total: f64 = rates.iter().sum();
-        let mut draw = || {
-            let mut left = self.chance.random::<f64>() * total;
-            let passed = rates.iter().position(|rate| {
-                left -= rate;
-                left < 0.0
-            });
-            able[passed.unwrap_or(able.len() - 1)]
-        };
-        let (a, b) = (draw(), draw());
-        let card = &self.card;
-        let price = |t: &Target| {
-            let fee = card.zone_fees.iter().find(|f| f.0 == t.zone && self.apart(t)).map_or(0.0, |f| f.1);
-            let crossing = if t.zone == card.zone { 0.0 } else { card.cross_zone_price };
-            let connecting = if self.connected(t, now) { 0.0 } else { card.connection_price };
-            fee + crossing + connecting
-        };
+        let rate = |t: &Target| self.rate(t).filter(|_| self.apart(t)).unwrap_or(1.0);
+        let rated: Vec<_> = able.iter().map(|id| (*id, rate(&self.targets[id]))).collect();
+        let mut draw = || rated.choose_weighted(&mut self.chance, |r| r.1).map_or(able[0], |r| r.0);
+        let drawn = [draw(), draw()];
         let burden = |id: &TargetId| {
             let t = &self.targets[id];
-            let mean = self.circuits.get(&self.route_of(*id, t)).and_then(|c| c.mean);
-            let slow = (mean.or(self.pace).unwrap_or(1.0).max(0.001) / self.pace.unwrap_or(1.0).max(0.001))
-                .log2()
-                .max(0.0) as u64;
-            ((strikes(t, category).min(3), slow, (price(t) * 1e6) as u64, t.calls_out), *id != a)
+            let slow = self.slowness(self.circuits.get(&self.route_of(*id, t))).log2() as u64;
+            (strikes(t, category).min(3), slow, (self.price(t, now) * 1e6) as u64, t.calls_out)
         };
         let kept = able.iter().copied().filter(|id| self.connected(&self.targets[id], now));
-        kept.chain([a, b]).min_by_key(burden).unwrap_or(a)
+        drawn.into_iter().chain(kept).min_by_key(burden).unwrap_or(able[0])
     }
 
     fn time_out(&self, envelope: &Envelope, route: Route, trial: bool, now: Duration) -> Duration {
@@ -613,9 +606,13 @@
         self.keys.retain(|_, line| !line.line.is_empty() || now < line.rest_until);
         let waited: BTreeMap<_, _> = self.waiting.iter().map(|d| (*d, self.waited(*d, now))).collect();
         while self.calls.len() < self.card.slots {
-            let claim = |id: &DestinationId| {
-                ((self.calls_out(*id) + 1) as f64 * self.slowness(*id) / waited[id]) as u64
+            // Slots are few, and a slow call holds one for as long as several others would.
+            let slow = |id: &DestinationId| {
+                let of_routes = self.circuits_of(*id).map(|c| self.slowness(Some(c)));
+                of_routes.reduce(f64::min).unwrap_or(1.0)
             };
+            let claim =
+                |id: &DestinationId| ((self.calls_out(*id) + 1) as f64 * slow(id) / waited[id]) as u64;
             let turn = |id: &DestinationId| (claim(id), self.destinations[id].last_turn, *id);
             let mut turns: Vec<_> = self.waiting.iter().map(turn).collect();
             turns.sort();
@@ -636,12 +633,6 @@
         }
     }
 
-    fn slowness(&self, destination: DestinationId) -> f64 {
-        let pace = self.pace.unwrap_or(1.0).max(0.001);
-        let means = self.circuits_of(destination).filter_map(|c| c.mean);
-        means.reduce(f64::min).map_or(1.0, |m| (m / pace).max(1.0))
-    }
-
     /// How long a destination's oldest envelope that may still keep its promise has waited, as a part of it.
     fn waited(&self, destination: DestinationId, now: Duration) -> f64 {
         let held = self.destinations[&destination].held.iter().filter_map(|id| self.envelopes.get(id));
@@ -1130,11 +1121,15 @@
     }
 
     /// What an answer or a probe told of the limit of its target's route; to be told before the outcome.
-    pub fn reported(&mut self, now: Duration, target: TargetId, report: LimitReport) {
+    pub fn reported(&mut self, target: TargetId, report: LimitReport) {
         let Some(route) = self.targets.get(&target).map(|t| self.route_of(target, t)) else { return };
-        let circuit = self.circuits.entry(route).or_default();
-        circuit.report = Some(report);
-        let _ = now;
+        let limit = Some(report.limit).filter(|l| *l > 0.0);
+        for id in self.members(route) {
+            if let Some(t) = self.targets.get_mut(&id) {
+                t.limit = limit;
+            }
+        }
+        self.circuits.entry(route).or_default().left = limit.map(|_| report.left);
     }
 
     /// Rule 6. Each envelope of a call may be the one that is told to wait, or its answer speaks to them all.
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,8 +8,7 @@
 use rand_pcg::Pcg32;
 
 use crate::host::{
-    DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, LimitReport, Listing, Outcome, PeerId,
-    Standing, TargetId,
+    DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, Listing, Outcome, PeerId, Standing, TargetId,
 };
 
 /// What comes next for an envelope once its dispatch has ended; the end is handed to it.
@@ -136,6 +135,8 @@
     /// Since when it is known to be gone.
     pub gone: Option<Duration>,
     pub weight: Option<f64>,
+    /// Calls a second that its route's limit allows, by the last report.
+    pub limit: Option<f64>,
     pub zone: String,
     pub kind: Option<usize>,
     /// Credit earned by answers, spent by further dispatches.
@@ -175,8 +176,8 @@
     pub calls_out: usize,
     pub mean: Option<f64>,
     pub last_answer: Duration,
-    /// What was last told of its limit.
-    pub report: Option<LimitReport>,
+    /// Share of its limit that was left by the last report; none where it tells of no limit.
+    pub left: Option<f64>,
 }
 
 /// What waits for one destination.
@@ -317,6 +318,7 @@
             standing: listing.standing,
             gone: None,
             weight: None,
+            limit: None,
             zone: String::new(),
             kind,
             earned,
