The program is ready for either shape: reports in answers, a check at start, stories of the move

Need: the new deployments ask for their lists, list exact rates, tell limits in answers and allow one dispatch out. The program reads every setting that the module now reads; the header X-Load-Report of an answer is told to the module before the answer's end. Shape::of reads the keys that come and go together with serde (serde_path_to_error names the key) and refuses what mixes them; reeddock check says which shape is in force.

--- a/crates/daemon/src/duties.rs
+++ b/crates/daemon/src/duties.rs
@@ -7,7 +7,7 @@
 use reeddock_forwarder::limits::Allowance;
 use reeddock_forwarder::Post;
 use reeddock_protocol::ListPart;
-use reeddock_terms::{terms, Reach};
+use reeddock_terms::{terms, Reach, Shape};
 use serde_json::Value;
 use tokio::sync::watch;
 
@@ -22,6 +22,7 @@
 #[derive(PartialEq)]
 pub struct Standing {
     pub discovery: SocketAddr,
+    pub shape: Shape,
     fixed: [(&'static str, Value); 3],
 }
 
@@ -54,6 +55,7 @@
         let limit = told.get("limits").and_then(|l| l.get(what)).and_then(Value::as_f64);
         limit.filter(|l| l.is_finite() && *l >= 0.0).ok_or_else(|| missing(&format!("limits.{what}")))
     };
+    let shape = Shape::of(settings).map_err(|fault| format!("{name}: settings.{fault}"))?;
     let reach = Reach::of(settings);
     let at = address("discovery")?;
     let (moves, discovery) = watch::channel(at);
@@ -75,5 +77,5 @@
         leave_within: LEAVE_WITHIN,
         clients_come_for: CLIENTS_COME_FOR,
     };
-    Ok((post, moves, Standing { discovery: at, fixed }))
+    Ok((post, moves, Standing { discovery: at, shape, fixed }))
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -179,6 +179,7 @@
             category.promised, category.outer_limit
         );
     }
+    println!("shape {}", started.shape);
     println!("slots {:?}, room for {:?} envelopes", post.terms.slots, post.terms.room);
     println!("{limits:?}");
     Ok(())
--- a/crates/forwarder/src/calls.rs
+++ b/crates/forwarder/src/calls.rs
@@ -13,7 +13,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use reeddock::{DispatchNo, EnvelopeId, TargetId};
+use reeddock::{DispatchNo, EnvelopeId, LimitReport, TargetId};
 use reeddock_protocol::{self as protocol, Ending, Letter};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
@@ -39,6 +39,8 @@
     pub endings: Vec<Ending>,
     /// A wait that the target asks for beside what it took on.
     pub wait: Option<Duration>,
+    /// What its answer tells of the limit of its route.
+    pub report: Option<LimitReport>,
 }
 
 /// Carries calls. Dropping the future of one ends its connection, and so gives the call up.
@@ -66,7 +68,7 @@
         let connections = self.connections.clone();
         Box::pin(async move {
             let count = call.letters.len();
-            let none = |ending| Carried { endings: vec![ending; count], wait: None };
+            let none = |ending| Carried { endings: vec![ending; count], wait: None, report: None };
             Ok(carry(connections, call).await.unwrap_or_else(none))
         })
     }
@@ -79,7 +81,7 @@
     };
     let request = request.map_err(|_| Ending::NotBegun)?;
     let alone = call.letters.len() == 1;
-    let completed = || Carried { endings: vec![Ending::Completed], wait: None };
+    let completed = |report| Carried { endings: vec![Ending::Completed], wait: None, report };
     let (mut connection, answer) = loop {
         let mut connection = connections.take(call.target, call.to).await?;
         if connections.resting(call.target) {
@@ -94,7 +96,7 @@
             biased;
             answer = connection.send(request.clone()) => answer,
             // The rest of the head may have no end, or can't be read.
-            () = async { said_ok.await; sleep(REST_SHORTLY).await }, if alone => return Ok(completed()),
+            () = async { said_ok.await; sleep(REST_SHORTLY).await }, if alone => return Ok(completed(None)),
         };
         if answer.is_ok() || !connection.was_over() {
             connections.used(&connection, answer.is_ok());
@@ -104,9 +106,10 @@
     };
     let (head, body) = match answer {
         Ok(answer) => answer.into_parts(),
-        Err(_) if alone && connection.said_ok() => return Ok(completed()),
+        Err(_) if alone && connection.said_ok() => return Ok(completed(None)),
         Err(ending) => return Err(ending),
     };
+    let report = protocol::report_of(&head);
     if alone && protocol::ending_of(&head) == Ending::Completed {
         // The head says all. The next call to this target, which may follow at once, finds the connection free
         // if the rest comes shortly.
@@ -114,13 +117,13 @@
         if timeout(REST_SHORTLY, &mut rest).await.is_err() {
             tokio::spawn(timeout(REST_AT_MOST, rest));
         }
-        return Ok(completed());
+        return Ok(completed(report));
     }
     // What is said of each stands in the body; and only a whole answer proves that nothing has run.
     let Ok(whole) = Limited::new(body, LONGEST_ANSWER).collect().await else {
         // A wait stands in the head, and holds whatever became of the rest.
         let endings = vec![Ending::Spoilt; call.letters.len()];
-        return Ok(Carried { endings, wait: protocol::wait_of(&head) });
+        return Ok(Carried { endings, wait: protocol::wait_of(&head), report });
     };
     let whole = whole.to_bytes();
     let clean = connection.ready().await;
@@ -128,10 +131,10 @@
         connections.put(call.target, connection);
     }
     if alone {
-        return Ok(Carried { endings: vec![protocol::ending_of(&head)], wait: None });
+        return Ok(Carried { endings: vec![protocol::ending_of(&head)], wait: None, report });
     }
     let endings = protocol::endings_of_bundle(&head, &whole, clean, &call.letters);
-    Ok(Carried { endings, wait: protocol::wait_of(&head) })
+    Ok(Carried { endings, wait: protocol::wait_of(&head), report })
 }
 
 async fn finish(connections: Connections, target: TargetId, mut connection: Connection, body: Incoming) {
@@ -173,7 +176,10 @@
     while waiting.iter().any(Option::is_some) {
         let ended = tokio::select! {
             biased;
-            Ok(Carried { endings, wait }) = &mut carried => {
+            Ok(Carried { endings, wait, report }) = &mut carried => {
+                if let Some(report) = report {
+                    let _ = owner.send(Event::Reported { target, report }).await;
+                }
                 if let Some(wait) = wait {
                     let _ = owner.send(Event::Wait { target, wait }).await;
                 }
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use reeddock::{
-    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, Listing, Outcome, Past, PeerId, Standing,
-    TargetId,
+    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, LimitReport, Listing, Outcome, Past,
+    PeerId, Standing, TargetId,
 };
 use reeddock_ledger::{Ledger, Record, Taken, Unended};
 use reeddock_protocol::{bundles, Answer, Ending, GivenUp, HandIn, Letter, ListPart, Notice};
@@ -45,6 +45,11 @@
         target: TargetId,
         wait: Duration,
     },
+    /// An answer told of the limit of its target's route; what it ended comes after it.
+    Reported {
+        target: TargetId,
+        report: LimitReport,
+    },
     List(ListPart),
     ListFailed,
     /// The platform has these notices.
@@ -221,6 +226,7 @@
                 self.rest(target, now + wait);
                 self.forwarder.told_to_wait(now, target, wait);
             }
+            Event::Reported { target, report } => self.forwarder.reported(target, report),
             Event::List(part) => self.list(part),
             Event::ListFailed => self.forwarder.list_failed(now),
             Event::Told(ids) => {
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -7,7 +7,7 @@
 use http::header::{HOST, RETRY_AFTER};
 use http::{response, Request, StatusCode};
 use http_body_util::Full;
-use reeddock::EnvelopeId;
+use reeddock::{EnvelopeId, LimitReport};
 
 use crate::{header, span_in, Ending, Fault, MOST_BODY};
 
@@ -69,6 +69,18 @@
     header(&answer.headers, RETRY_AFTER.as_str()).and_then(span_in).filter(|w| !w.is_zero())
 }
 
+/// What an answer tells of its route's limit: `x0` and `x1` of its load report, whatever else stands there.
+/// None where one is missing or no number.
+pub fn report_of(answer: &response::Parts) -> Option<LimitReport> {
+    let line = header(&answer.headers, "x-load-report")?;
+    let told = |name: &str| {
+        let values = line.split(',').filter_map(|part| part.trim().split_once('='));
+        let value = values.filter(|(field, _)| *field == name).find_map(|(_, v)| v.parse::<f64>().ok());
+        value.filter(|v| v.is_finite() && *v >= 0.0)
+    };
+    Some(LimitReport { left: told("x0")?.min(1.0), limit: told("x1")? })
+}
+
 /// What the head of an answer says of all envelopes of its call.
 pub fn ending_of(answer: &response::Parts) -> Ending {
     let wait = || wait_of(answer);
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -2,8 +2,8 @@
 
 use http::Response;
 use http_body::Body;
-use reeddock::{EnvelopeId, Outcome, Standing};
-use reeddock_protocol::{bundle, bundles, ending_of, endings_of_bundle, Ending, Letter, ListPart};
+use reeddock::{EnvelopeId, LimitReport, Outcome, Standing};
+use reeddock_protocol::{bundle, bundles, ending_of, endings_of_bundle, report_of, Ending, Letter, ListPart};
 use std::time::Duration;
 
 fn head(status: u16, header: Option<(&str, &str)>) -> http::response::Parts {
@@ -31,6 +31,19 @@
     assert!(ending_of(&head(410, None)).ends_envelope() && !ending_of(&head(504, None)).ends_envelope());
 }
 
+#[test]
+fn a_load_report_is_read_whole_or_not_at_all() {
+    let told = |line| report_of(&head(200, Some(("X-Load-Report", line))));
+    let whole = Some(LimitReport { left: 0.4, limit: 25.0 });
+    assert_eq!(told("x0=0.4,x1=25"), whole);
+    assert_eq!(told("other=3, x1=25 ,x0=0.4"), whole);
+    assert_eq!(told("x0=1.5,x1=0"), Some(LimitReport { left: 1.0, limit: 0.0 }), "a little noisy");
+    for odd in ["", "x0=0.4", "x0=,x1=25", "x0=-1,x1=25", "x0=0.4,x1=inf", "x0=NaN,x1=25", "x0:0.4;x1:25"] {
+        assert_eq!(told(odd), None, "{odd}");
+    }
+    assert_eq!(report_of(&head(200, None)), None);
+}
+
 #[test]
 fn a_bundle_answer_that_leaves_one_out_or_may_be_cut_proves_nothing() {
     let letters = ["a", "ab", "c"].map(|id| Letter { id: EnvelopeId(id.into()), body: Default::default() });
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -1,10 +1,13 @@
 //! The settings that a forwarder is handed, on the simulator's wire as on sockets, under the module's names.
 //! Nothing is decided here: what is absent or of another type is passed on as untold.
 
+mod shape;
+
 use std::time::Duration;
 
 use reeddock::{CategoryTerms, Effect, Group, LimitReport, Terms, Weights};
 use serde_json::{Map, Value};
+pub use shape::Shape;
 
 /// What the module is told at start.
 pub fn terms(seed: u64, info: &Map<String, Value>) -> Terms {
--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -53,6 +53,27 @@
     assert!(wire.answer(&batch(5, json!([["Alarm", "wake"]]))).is_err(), "a killed instance has no events");
 }
 
+#[test]
+fn odd_reports_and_settings_are_read_as_untold() {
+    for report in
+        [json!({"how": "piggyback", "fields": ["x1", "x0"]}), json!({"how": 3}), json!(null), json!([])]
+    {
+        let mut wire = Wire::default();
+        let mut events = attach();
+        events[0][2]["report"] = report;
+        events[0][2]["familyInfo"]["zoneFee"] = json!([0.1, null, "x", -3]);
+        events[0][2]["areas"] = json!(["z"]);
+        wire.answer(&batch(1, events)).unwrap();
+        for usage in
+            [json!(null), json!([]), json!([5.0]), json!(["a", null]), json!([-1, 7]), json!([9.0, 0.3])]
+        {
+            let settled = json!(["Settled", ID, 0, 18500, 7, "shed", false, null, usage]);
+            wire.answer(&batch(2, json!([settled, ["HealthResult", 7, "delivered", 1400, usage]]))).unwrap();
+        }
+        wire.answer(&batch(3, json!([["Sync", "X", 0, null]]))).unwrap();
+    }
+}
+
 #[test]
 fn malformed_input_is_named_in_one_line() {
     let mut wire = Wire::default();
--- a/src/control.rs
+++ b/src/control.rs
@@ -27,14 +27,11 @@
 /// What may be pushed, against the budget read from usual traffic. Over 1, as a destination is built for more
 /// than its usual traffic. Measured at 0.75, 1.1 and 1.5: faster returns each time, no rule broken by it.
 const PUSH_OF_USUAL: f64 = 1.5;
-/// Calls in a span under which a push budget is kept by spacing them and not by counting.
-const SPACED_BUDGET: f64 = 4.0;
 /// Weight of one more envelope within a call, against the call itself.
 const PUSH_PER_EXTRA: f64 = 0.25;
 /// Envelopes a second that the smallest destination is taken to be built for, where nothing else is known.
 const LEAST_CAPACITY: f64 = 2.0;
-/// Spacing of calls to a route that refuses them: grown by each refusal, shrunk by each answer, so that about
-/// one call in eight may be refused while the limit is being felt for.
+/// Spacing of calls to a route that refuses them: grown by each refusal and shrunk by each answer.
 const SPACING_GROWTH: f64 = 1.6;
 const SPACING_SHRINK: f64 = 0.93;
 /// The same for refusals that no limit explains: a full queue, or what is down and returns cold.
@@ -44,9 +41,8 @@
 /// First spacing, in usual gaps between a forwarder's calls to the route.
 const FIRST_GAP: f64 = 0.5;
 /// Where forwarders are many, their turns at a route with a listed rate, in gaps between the calls that are
-/// one's part of it. Under 1, as some turns stay unused; calls that carry many envelopes wait for these.
+/// one's part of it. Under 1, as some turns stay unused.
 const TURN: f64 = 0.8;
-const FULL_TURN: f64 = OVERLISTED;
 /// The part of a turn in which its call may begin, and its least in seconds: a host that takes its turns on a
 /// coarse grid would meet short ones closed each time.
 const TURN_OPEN: f64 = 0.3;
@@ -88,7 +84,6 @@
 
 impl RateCard {
     fn derive(terms: Terms) -> RateCard {
-        let credits: Vec<f64> = terms.categories.iter().map(|c| finite(c.credit, 1.0)).collect();
         let categories: Vec<CategoryRate> = terms
             .categories
             .into_iter()
@@ -103,7 +98,6 @@
                     ordered: c.ordered,
                     credit: finite(c.credit, 1.0),
                     late_credit: finite(c.late_credit, 0.0).min(1.0),
-                    place: credits.iter().filter(|other| **other > finite(c.credit, 1.0)).count(),
                 }
             })
             .collect();
@@ -277,19 +271,10 @@
         }
         let usual = self.usual_rate(target, now);
         let per_second = PUSH_OF_USUAL * card.fall_multiple * share * usual;
-        let budget = per_second * card.tip_after.as_secs_f64();
-        if budget < SPACED_BUDGET {
-            // So few calls for each span are this forwarder's part that whole ones would waste much of it.
-            let last = target.pushes.back();
-            let next = last.map(|p| p.0 + seconds(p.1 / per_second.max(0.01)));
-            return next.filter(|at| now < *at).map_or(Ok(budget.max(1.0)), Err);
-        }
-        let recent = target.pushes.iter().filter(|p| now.saturating_sub(p.0) < card.tip_after);
-        let left = budget - recent.clone().map(|p| p.1).sum::<f64>();
-        match recent.map(|p| p.0).min() {
-            Some(oldest) if left < 1.0 => Err(oldest + card.tip_after),
-            _ => Ok(left.max(1.0)),
-        }
+        // One's part is few calls for each span, so that they are spaced and not counted.
+        let next = target.pushes.back().map(|p| p.0 + seconds(p.1 / per_second.max(0.01)));
+        let budget = (per_second * card.tip_after.as_secs_f64()).max(1.0);
+        next.filter(|at| now < *at).map_or(Ok(budget), Err)
     }
 
     /// The design's delay for a route. Every forwarder sends a trial of its own, and the first ones after a
@@ -312,16 +297,16 @@
     }
 
     /// Symptom: many forwarders that were refused nothing yet send what comes at once, and a clump that comes
-    /// to all of them is over a limit which refused calls use up too, so that nothing passes for seconds. Each
-    /// has turns at a route with a listed rate, one call in each, and the turns of all lie apart by chance and
-    /// are soon over, so that the unused ones are not kept for the clump. It costs part of a promise where the
-    /// limit is far. None: a call may go; else the next turn.
+    /// to all of them is over a limit which refused calls use up too, so that nothing passes for seconds.
+    /// Where no answer tells of limits each has turns at a route with a listed rate, one call in each; the
+    /// turns of all lie apart by chance and are soon over, so that the unused ones are not kept for the
+    /// clump. It costs part of a promise where the limit is far. None: a call may go; else the next turn.
     fn next_turn(&self, route: Route, target: &Target, now: Duration) -> Option<Duration> {
         let paced = self.card.many && self.apart(target) && !self.card.answers_report;
         let listed = self.rate(target).filter(|_| paced)?;
         // One that carries several times what others do has that many turns.
         let times = (self.part(target, now) * self.card.forwarders / listed).round().max(1.0);
-        let apart = if self.listed_full(target) { FULL_TURN } else { TURN };
+        let apart = if self.listed_full(target) { OVERLISTED } else { TURN };
         let turn = apart * self.card.forwarders / listed / times;
         // Against rates that no one can mean, of either kind.
         let turn = turn.min(self.card.longest.as_secs_f64()).max(LEAST_WAKE.as_secs_f64());
@@ -431,14 +416,13 @@
                 let told = wait.unwrap_or(circuit.told_wait);
                 let used_up = circuit.left.is_some_and(|left| left < USED_UP);
                 if card.many && sent >= circuit.spaced_at {
-                    let (mut first, widest) = (OVERLISTED / part, WIDEST_GAPS / part);
-                    if card.answers_report {
-                        first = first.min(card.recovery_delay.as_secs_f64());
-                    }
+                    let first = card.overlisted.unwrap_or(OVERLISTED) / part;
+                    // Where answers tell when there is room again, no refusal need be the last word on it.
+                    let soon = if card.answers_report { card.recovery_delay } else { card.longest };
                     let growth = if card.answers_report && !used_up { OPAQUE_GROWTH } else { SPACING_GROWTH };
-                    let spacing = (circuit.spacing * growth).clamp(first, widest);
+                    let spacing = (circuit.spacing * growth).max(first.min(soon.as_secs_f64()));
                     // Longer than an envelope lasts it would be no spacing but an end.
-                    circuit.spacing = spacing.min(card.longest.as_secs_f64() / 2.0);
+                    circuit.spacing = spacing.min(WIDEST_GAPS / part).min(card.longest.as_secs_f64() / 2.0);
                     let drawn = 0.5 + self.chance.random::<f64>();
                     circuit.spaced_until = now + told + seconds(drawn * circuit.spacing);
                     circuit.spaced_at = now;
@@ -513,7 +497,7 @@
             return false;
         }
         // A further dispatch goes where answers have earned it, or where nothing was sent for a while. What
-        // was refused may also go by the spacing alone, where own calls are many enough to learn that.
+        // was refused may also go by the spacing alone, but where own calls are too few to learn that.
         let usual = self.usual_rate(target, now).max(0.01);
         let promised = self.card.categories[envelope.category].promised;
         let idle = now.saturating_sub(target.last_sent);
@@ -523,16 +507,7 @@
         if envelope.may_have_run.is_some() {
             return idle >= self.card.recovery_delay;
         }
-        let spaced = self.circuits.get(&self.route_of(id, target)).is_some_and(|c| c.spacing > 0.0);
-        if usual * promised.as_secs_f64() >= 1.0 || self.card.many && spaced {
-            return true;
-        }
-        // Where they are few, it goes after a usual gap, or once where waits are told, as there is room at
-        // their end: sooner repeats of many forwarders would push over a destination that was shut. And not
-        // while most slots are out: refused again, it would take the place of one that may be answered.
-        let told = self.circuits.get(&self.route_of(id, target)).is_some_and(|c| !c.told_wait.is_zero());
-        let waited = told && envelope.dispatches == 1 && now.saturating_sub(envelope.last_sent) >= promised;
-        2 * self.calls.len() < self.card.slots && (waited || idle >= seconds(1.0 / usual))
+        usual * promised.as_secs_f64() >= 1.0 || self.card.many || idle >= seconds(1.0 / usual)
     }
 
     /// Whether a connection to the target is likely to stand idle.
@@ -713,8 +688,8 @@
             .map(|(id, e)| {
                 // What may have run has a receipt that runs out, and goes before that.
                 let late = e.promised_by <= now && e.may_have_run.is_none();
-                let place = self.card.categories[e.category].place;
-                ((e.over_share, e.errors > 1, late, place, e.promised_by, e.arrival), id)
+                let credit = std::cmp::Reverse((self.card.categories[e.category].credit * 1e6) as u64);
+                ((e.over_share, e.errors > 1, late, credit, e.promised_by, e.arrival), id)
             })
             .collect();
         ranked.sort();
@@ -933,8 +908,8 @@
         }
     }
 
-    /// Symptom: the holding room is full, and whatever comes next is turned away unseen. The envelope with
-    /// least to hope for goes instead: beyond its share, then late, of the destination with most held.
+    /// Symptom: the holding room is full, and whatever comes next is turned away unseen. What would earn
+    /// least goes instead, of the destination with most held where several would.
     fn make_room(&mut self, now: Duration, host: &mut dyn Host) {
         while self.envelopes.len() >= self.card.room {
             let held = self.waiting.iter().flat_map(|d| &self.destinations[d].held);
@@ -943,8 +918,7 @@
                 let line = self.destinations[&e.destination].held.len();
                 ((self.worth(e, now) * 1e6) as u64, usize::MAX - line, u64::MAX - e.arrival, id)
             });
-            let Some((.., least)) = worth.min() else { return };
-            let least = least.clone();
+            let Some(least) = worth.min().map(|w| w.3.clone()) else { return };
             self.give_up(&least, now, host);
         }
     }
@@ -1014,15 +988,10 @@
         };
         let rate = &self.card.categories[category];
         let key = key.filter(|_| rate.ordered);
-        // Counted from the first hand-in, which a client's repeat shares.
-        // One that comes with less time than the promise is no late repeat: nobody wants it after its limit.
-        let patience = outer_limit.saturating_sub(now);
-        let late = if patience <= rate.promised {
-            Duration::ZERO
-        } else {
-            rate.outer_limit.saturating_sub(rate.promised)
-        };
-        let promised_by = outer_limit.saturating_sub(late);
+        // Counted from the first hand-in, which a client's repeat shares. One that comes with less time than
+        // the promise is no late repeat: it is wanted until its limit, and not after.
+        let whole = if now + rate.promised < outer_limit { rate.outer_limit } else { rate.promised };
+        let promised_by = outer_limit.saturating_sub(whole.saturating_sub(rate.promised));
         let tenant = tenant.and_then(|t| self.card.tenants.iter().position(|n| n.0 == t));
         let over_share = tenant.is_some_and(|t| self.over_share(t, now));
         self.take(id, Envelope::new(category, key, destination, promised_by, outer_limit, over_share), now);
@@ -1122,7 +1091,8 @@
 
     /// What an answer or a probe told of the limit of its target's route; to be told before the outcome.
     pub fn reported(&mut self, target: TargetId, report: LimitReport) {
-        let Some(route) = self.targets.get(&target).map(|t| self.route_of(target, t)) else { return };
+        let of_limits = self.targets.get(&target).filter(|_| self.card.answers_report);
+        let Some(route) = of_limits.map(|t| self.route_of(target, t)) else { return };
         let limit = Some(report.limit).filter(|l| *l > 0.0);
         for id in self.members(route) {
             if let Some(t) = self.targets.get_mut(&id) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -32,8 +32,6 @@
     pub(crate) credit: f64,
     /// Share of it that is left at the outer limit.
     pub(crate) late_credit: f64,
-    /// Categories by falling credit; those of equal credit share a place.
-    pub(crate) place: usize,
 }
 
 /// What is derived from the terms at start. The terms themselves are not kept.
