--- a/crates/terms/src/shape.rs
+++ b/crates/terms/src/shape.rs
@@ -7,10 +7,10 @@
 /// How a deployment is laid out, as far as the parts that come and go together tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Shape {
-    /// Lists are pushed, rates are rough at best, no answer tells of limits, copies may be sent.
-    Told,
-    /// Lists are asked for, rates are exact, answers tell of limits, one dispatch of an envelope is out at most.
-    Asking,
+    /// No answer tells of limits, rates are rough at best, copies may be sent; lists are pushed or asked for.
+    Silent,
+    /// Answers tell of limits, rates are exact, one dispatch of an envelope is out at most, lists are asked for.
+    Reporting,
 }
 
 /// The keys that tell, and those that only one shape has; others are passed over.
@@ -84,28 +84,29 @@
         let told = settings.iter().filter(|(_, v)| !v.is_null()).map(|(k, v)| (k.clone(), v.clone()));
         let keys: Keys = serde_path_to_error::deserialize(Value::Object(told.collect()))
             .map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
-        let asking = keys.report.how == How::Piggyback;
-        let shape = if asking { Shape::Asking } else { Shape::Told };
-        let tells = if asking { "report.how is piggyback" } else { "report.how is not piggyback" };
+        let reporting = keys.report.how == How::Piggyback;
+        let shape = if reporting { Shape::Reporting } else { Shape::Silent };
+        let tells = if reporting { "report.how is piggyback" } else { "report.how is not piggyback" };
         // What must hold with the shape that the reports tell, by key.
         let goes_with = [
-            ("weights", (keys.weights == Some(Weights::Nominal)) == asking, "nominal"),
-            ("discovery", (keys.discovery == Some(Discovery::Subscribe)) == asking, "subscribe"),
+            ("weights", (keys.weights == Some(Weights::Nominal)) == reporting, "nominal"),
+            // Lists were asked for on some days of the silent shape too.
+            ("discovery", keys.discovery == Some(Discovery::Subscribe) || !reporting, "subscribe"),
             (
                 "policyLimits.mayDuplicate",
-                (keys.policy_limits.may_duplicate == Some(false)) == asking,
+                (keys.policy_limits.may_duplicate == Some(false)) == reporting,
                 "false",
             ),
         ];
         if let Some((key, _, value)) = goes_with.iter().find(|(_, fits, _)| !fits) {
-            let other = if asking { "" } else { "not " };
+            let other = if reporting { "" } else { "not " };
             return Err(format!("{key}: expected {other}{value}, as {tells}"));
         }
         let fees = &keys.family_info.zone_fee;
         if let Some(at) = fees.iter().position(|fee| !fee.is_finite() || *fee < 0.0) {
             return Err(format!("familyInfo.zoneFee[{at}]: expected 0 or more"));
         }
-        if !asking {
+        if !reporting {
             let priced = fees.iter().any(|fee| *fee > 0.0);
             return if priced {
                 Err(format!("familyInfo.zoneFee: expected none, as {tells}"))
@@ -137,9 +138,9 @@
 impl std::fmt::Display for Shape {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         f.write_str(match self {
-            Shape::Told => "told: lists come by themselves, answers tell of no limit",
-            Shape::Asking => {
-                "asking: lists are asked for, answers tell of limits, one dispatch out at a time"
+            Shape::Silent => "silent: answers tell of no limit",
+            Shape::Reporting => {
+                "reporting: answers tell of limits, lists are asked for, one dispatch out at a time"
             }
         })
     }
