--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -756,8 +756,12 @@
         story.after(ms(0));
         report(&mut story, 1, 0.0, 6.0);
         story.ends("a", 0, Outcome::Full(None));
+        let spacing =
+            |story: &Story| story.forwarder.circuits.values().map(|c| c.spacing).fold(0.0, f64::max);
+        let before = spacing(&story);
         report(&mut story, 1, left, 6.0);
         story.ends("b", 0, Outcome::Completed);
+        assert!(soon || spacing(&story) > 0.9 * before, "refused calls may use the limit up too");
         story.after(ms(2000));
         for n in 0..3 {
             story.hand_in(&format!("e{n}"), "note", 9);
