--- a/src/control.rs
+++ b/src/control.rs
@@ -395,7 +395,7 @@
                 all_troubled = circuit.restrained_until.is_some() && troubled;
                 circuit.success(now);
                 let shrink = if card.many { SELDOM_SHRINK } else { SPACING_SHRINK };
-                // One that is used up by refused calls too needs fewer of them; one with room needs no spacing.
+                // What refused calls use up as well needs fewer of them; what has room, no spacing.
                 circuit.spacing *= circuit.left.map_or(shrink, |left| SPACING_SHRINK * (1.0 - left));
                 circuit.time_outs = 0;
                 circuit.told_wait /= 2;
