What refuses again and again may be down, whatever is left of its limit

Its refusals said that the limit was used up, as the fleet called it over its limit while it hung, so that the spacing grew by 1.6 only (learn, Full). Now only a first refusal since an answer counts as a limit's.

--- a/src/control.rs
+++ b/src/control.rs
@@ -415,7 +415,8 @@
                 // Symptom: many forwarders are refused at about the same time, or told waits that end
                 // together, and all come back at once, over the limit again. Each is put off by chance.
                 let told = wait.unwrap_or(circuit.told_wait);
-                let used_up = circuit.left.is_some_and(|left| left < USED_UP);
+                // What refuses again and again may be down, whatever is left.
+                let used_up = circuit.failures.is_empty() && circuit.left.is_some_and(|left| left < USED_UP);
                 if card.many && sent >= circuit.spaced_at {
                     let first = card.overlisted.unwrap_or(OVERLISTED) / part;
                     // Where answers tell when there is room again, no refusal need be the last word on it.
