Each part of a deployment's shape follows from its own key; obour-depot can start

To blame: Shape::of (terms/shape.rs), which took reports (report.how = piggyback) for one of two shapes and refused weights, discovery and mayDuplicate that did not come with it.

--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -65,7 +65,6 @@
     Dispatch(EnvelopeId, TargetId, Duration),
     CallOff(EnvelopeId, DispatchNo),
     End(EnvelopeId, GivenUp),
-    CloseIdle(TargetId),
 }
 
 #[derive(Default)]
@@ -102,10 +101,6 @@
     fn subscribe(&mut self, _: bool) {}
     fn fetch_list(&mut self) {}
 
-    fn close_idle(&mut self, target: TargetId) {
-        self.asked.push(Asked::CloseIdle(target));
-    }
-
     fn log(&mut self, line: &str) {
         tracing::info!("{line}");
     }
@@ -459,9 +454,6 @@
                 let _ = stop.send(());
             }
         }
-        for target in orders.close_idle {
-            self.courier.connections.close_idle(target);
-        }
         // What these leave to do comes with the next turn.
         if !kept.is_empty() || !gone.is_empty() {
             self.state.wakes.insert(now + AFTER_A_FAULT);
@@ -547,7 +539,6 @@
 struct Orders {
     going: Vec<(EnvelopeId, TargetId, Duration)>,
     called_off: Vec<(EnvelopeId, DispatchNo)>,
-    close_idle: Vec<TargetId>,
     notices: Vec<Notice>,
 }
 
@@ -573,7 +564,6 @@
             match asked {
                 Asked::Dispatch(id, target, time_out) => orders.going.push((id, target, time_out)),
                 Asked::CallOff(id, no) => orders.called_off.push((id, no)),
-                Asked::CloseIdle(target) => orders.close_idle.push(target),
                 Asked::End(id, end) => {
                     if let Some(at) = self.fresh.iter().position(|f| f.id == id) {
                         let _ = self.fresh.remove(at).reply.send(match end {
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -75,10 +75,9 @@
     let line = header(&answer.headers, "x-load-report")?;
     let told = |name: &str| {
         let values = line.split(',').filter_map(|part| part.trim().split_once('='));
-        let value = values.filter(|(field, _)| *field == name).find_map(|(_, v)| v.parse::<f64>().ok());
-        value.filter(|v| v.is_finite() && *v >= 0.0)
+        values.filter(|(field, _)| *field == name).find_map(|(_, v)| v.parse::<f64>().ok())
     };
-    Some(LimitReport { left: told("x0")?.min(1.0), limit: told("x1")? })
+    LimitReport::told(told("x0"), told("x1"))
 }
 
 /// What the head of an answer says of all envelopes of its call.
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -7,7 +7,7 @@
 
 use reeddock::{CategoryTerms, Effect, Group, LimitReport, Terms, Weights};
 use serde_json::{Map, Value};
-pub use shape::Shape;
+pub use shape::{Rates, Shape};
 
 /// What the module is told at start.
 pub fn terms(seed: u64, info: &Map<String, Value>) -> Terms {
@@ -102,11 +102,9 @@
         Some(ReportFields { left: place("x0")?, limit: place("x1")? }).filter(|_| told)
     }
 
-    /// What is missing, or is no share or no rate, is read as untold.
     pub fn read(self, values: &[Value]) -> Option<LimitReport> {
-        let at =
-            |place: usize| values.get(place).and_then(Value::as_f64).filter(|v| v.is_finite() && *v >= 0.0);
-        Some(LimitReport { left: at(self.left)?.min(1.0), limit: at(self.limit)? })
+        let at = |place: usize| values.get(place).and_then(Value::as_f64);
+        LimitReport::told(at(self.left), at(self.limit))
     }
 }
 
--- a/crates/terms/src/shape.rs
+++ b/crates/terms/src/shape.rs
@@ -1,29 +1,43 @@
-//! Which of the two shapes of deployment a configuration has, and that it is one of them. The simulator's wire
-//! is lenient, and what is odd there is read as untold; an operator's file is refused with the key.
+//! How a deployment is laid out, as its configuration tells it: each part from its own keys, in any mixture, since
+//! customers differ in all of them. The simulator's wire is lenient, and what is odd there is read as untold; in an
+//! operator's file a value that means nothing is refused with its key.
 
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
-/// How a deployment is laid out, as far as the parts that come and go together tell.
+/// The parts of a layout, none of which follows from another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Shape {
-    /// No answer tells of limits, rates are rough at best, copies may be sent; lists are pushed or asked for.
-    Silent,
-    /// Answers tell of limits, rates are exact, one dispatch of an envelope is out at most, lists are asked for.
-    Reporting,
+pub struct Shape {
+    /// Answers tell how much of their route's limit is left, and the limit.
+    pub limits_told: bool,
+    pub rates: Rates,
+    /// The list comes only when it is asked for.
+    pub list_asked_for: bool,
+    /// An envelope may have two dispatches out.
+    pub copies: bool,
+    /// What routes apart take on has a price by zone.
+    pub zone_fees: bool,
+}
+
+/// What the list tells of calls a second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rates {
+    Untold,
+    Rough,
+    Exact,
 }
 
-/// The keys that tell, and those that only one shape has; others are passed over.
+/// The keys that tell; others are passed over. One that is null is absent.
 #[derive(Default, Deserialize)]
 #[serde(default, rename_all = "camelCase")]
 struct Keys {
     discovery: Option<Discovery>,
     weights: Option<Weights>,
-    report: Report,
-    policy_limits: Limits,
-    guarantees: Guarantees,
-    family_info: Family,
-    areas: Vec<String>,
+    report: Option<Report>,
+    policy_limits: Option<Limits>,
+    guarantees: Option<Guarantees>,
+    family_info: Option<Family>,
+    areas: Option<Vec<String>>,
     az: Option<String>,
 }
 
@@ -78,70 +92,63 @@
 }
 
 impl Shape {
-    /// The shape that a configuration's settings have, or the key that is wrong and what is expected there.
+    /// How a configuration's settings lay a deployment out, or the key that is wrong and what is expected there.
     pub fn of(settings: &Map<String, Value>) -> Result<Shape, String> {
-        // A key that is null is one that is absent.
-        let told = settings.iter().filter(|(_, v)| !v.is_null()).map(|(k, v)| (k.clone(), v.clone()));
-        let keys: Keys = serde_path_to_error::deserialize(Value::Object(told.collect()))
-            .map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
-        let reporting = keys.report.how == How::Piggyback;
-        let shape = if reporting { Shape::Reporting } else { Shape::Silent };
-        let tells = if reporting { "report.how is piggyback" } else { "report.how is not piggyback" };
-        // What must hold with the shape that the reports tell, by key.
-        let goes_with = [
-            ("weights", (keys.weights == Some(Weights::Nominal)) == reporting, "nominal"),
-            // Lists were asked for on some days of the silent shape too.
-            ("discovery", keys.discovery == Some(Discovery::Subscribe) || !reporting, "subscribe"),
-            (
-                "policyLimits.mayDuplicate",
-                (keys.policy_limits.may_duplicate == Some(false)) == reporting,
-                "false",
-            ),
-        ];
-        if let Some((key, _, value)) = goes_with.iter().find(|(_, fits, _)| !fits) {
-            let other = if reporting { "" } else { "not " };
-            return Err(format!("{key}: expected {other}{value}, as {tells}"));
+        let keys: Keys =
+            serde_path_to_error::deserialize(settings).map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+        let report = keys.report.unwrap_or_default();
+        let told = |name: &str| report.fields.iter().any(|field| field == name);
+        let areas = keys.areas.unwrap_or_default();
+        if keys.az.is_some_and(|zone| !zone.is_empty() && !areas.is_empty() && !areas.contains(&zone)) {
+            return Err("az: expected one of areas".into());
         }
-        let fees = &keys.family_info.zone_fee;
+        let fees = keys.family_info.unwrap_or_default().zone_fee;
         if let Some(at) = fees.iter().position(|fee| !fee.is_finite() || *fee < 0.0) {
             return Err(format!("familyInfo.zoneFee[{at}]: expected 0 or more"));
         }
-        if !reporting {
-            let priced = fees.iter().any(|fee| *fee > 0.0);
-            return if priced {
-                Err(format!("familyInfo.zoneFee: expected none, as {tells}"))
-            } else {
-                Ok(shape)
-            };
-        }
-        if !["x0", "x1"].iter().all(|name| keys.report.fields.iter().any(|field| field == name)) {
-            return Err("report.fields: expected x0 and x1".into());
-        }
-        if keys.guarantees.must_ask_in_us.is_none_or(|within| within == 0) {
-            return Err(
-                "guarantees.mustAskInUs: expected microseconds over 0, as the list is asked for".into()
-            );
-        }
-        if !fees.is_empty() && fees.len() != keys.areas.len() {
-            let (fees, zones) = (fees.len(), keys.areas.len());
+        if !fees.is_empty() && fees.len() != areas.len() {
+            let (fees, zones) = (fees.len(), areas.len());
             return Err(format!(
                 "familyInfo.zoneFee: expected a fee for each of {zones} areas, found {fees}"
             ));
         }
-        if keys.az.is_some_and(|zone| !zone.is_empty() && !keys.areas.contains(&zone)) {
-            return Err("az: expected one of areas".into());
+        let list_asked_for = keys.discovery == Some(Discovery::Subscribe);
+        let within = keys.guarantees.unwrap_or_default().must_ask_in_us;
+        if list_asked_for && within.is_none_or(|within| within == 0) {
+            return Err(
+                "guarantees.mustAskInUs: expected microseconds over 0, as the list is asked for".into()
+            );
         }
-        Ok(shape)
+        Ok(Shape {
+            // A report of other things than these is no word on limits.
+            limits_told: report.how == How::Piggyback && ["x0", "x1"].iter().all(|name| told(name)),
+            rates: match keys.weights {
+                Some(Weights::Nominal) => Rates::Exact,
+                Some(Weights::Rough) => Rates::Rough,
+                Some(Weights::Silent | Weights::Live) | None => Rates::Untold,
+            },
+            list_asked_for,
+            copies: keys.policy_limits.unwrap_or_default().may_duplicate.unwrap_or_default(),
+            zone_fees: fees.iter().any(|fee| *fee > 0.0),
+        })
     }
 }
 
 impl std::fmt::Display for Shape {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        f.write_str(match self {
-            Shape::Silent => "silent: answers tell of no limit",
-            Shape::Reporting => {
-                "reporting: answers tell of limits, lists are asked for, one dispatch out at a time"
-            }
-        })
+        let of = |told, yes: &'static str, no| if told { yes } else { no };
+        let rates = match self.rates {
+            Rates::Untold => "no listed rates",
+            Rates::Rough => "rough rates",
+            Rates::Exact => "exact rates",
+        };
+        write!(
+            f,
+            "{}, {rates}, {}, {}, {}",
+            of(self.limits_told, "answers tell of limits", "answers tell of no limit"),
+            of(self.list_asked_for, "lists are asked for", "lists are pushed"),
+            of(self.copies, "two dispatches out at most", "one dispatch out at a time"),
+            of(self.zone_fees, "fees by zone", "no fees"),
+        )
     }
 }
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -76,10 +76,6 @@
         self.0.push(json!(["Ping", target.0]));
     }
 
-    fn close_idle(&mut self, target: TargetId) {
-        self.0.push(json!(["HangUp", target.0]));
-    }
-
     fn tell(&mut self, peer: Option<PeerId>, note: &[u8]) {
         let to = peer.map_or(json!("all"), |p| json!(p.0));
         self.0.push(json!(["WritePeer", to, STANDARD.encode(note)]));
@@ -223,22 +219,14 @@
     now: Duration,
     host: &mut Actions,
 ) -> Result<(), Fault> {
-    if let Some((target, usage)) = match event.0 {
-        "Settled" => Some((event.target(3)?, event.at(7))),
-        "HealthResult" => Some((event.target(0)?, event.at(3))),
-        _ => None,
-    } {
-        attached.reported(target, usage);
-    }
-    let forwarder = &mut attached.forwarder;
     match event.0 {
         "Sync" => match event.text(0)? {
-            "X" => forwarder.list_failed(now),
+            "X" => attached.forwarder.list_failed(now),
             how @ ("D" | "F" | "C") => {
                 let slot = event.whole(2)?;
                 let lines =
                     lists.get(&slot).ok_or_else(|| format!("Sync: list {slot} was never registered"))?;
-                forwarder.list_begins(how != "D");
+                attached.forwarder.list_begins(how != "D");
                 for line in lines {
                     let values = line.as_array().ok_or("Register: an entry is not an array")?;
                     let entry = Event("Register entry", values);
@@ -248,7 +236,7 @@
                         "left" => Standing::Gone,
                         other => return Err(format!("Register entry: unknown health {other:?}")),
                     };
-                    forwarder.listed(Listing {
+                    attached.forwarder.listed(Listing {
                         target: entry.target(0)?,
                         destination: DestinationId(entry.whole(2)?),
                         standing,
@@ -257,11 +245,11 @@
                         kind: entry.at(6).and_then(Value::as_str).unwrap_or_default(),
                     });
                 }
-                forwarder.list_ends();
+                attached.forwarder.list_ends();
             }
             other => return Err(format!("Sync: unknown kind {other:?}")),
         },
-        "Demand" => forwarder.hand_in(
+        "Demand" => attached.forwarder.hand_in(
             now,
             event.envelope(0)?,
             event.text(1)?,
@@ -286,19 +274,21 @@
             };
             let over = event.at(5).and_then(Value::as_bool).unwrap_or_default();
             let no = DispatchNo(event.small(1)?);
-            forwarder.settled(now, &event.envelope(0)?, no, outcome, over, host);
+            attached.reported(event.target(3)?, event.at(7));
+            attached.forwarder.settled(now, &event.envelope(0)?, no, outcome, over, host);
         }
-        "Left" => forwarder.withdrawn(&event.envelope(0)?, host),
-        "Alarm" => forwarder.alarm(now),
+        "Left" => attached.forwarder.withdrawn(&event.envelope(0)?, host),
+        "Alarm" => attached.forwarder.alarm(now),
         "HealthResult" => {
             let well = event.text(1)? == "delivered";
-            forwarder.probed(now, event.target(0)?, well);
+            attached.reported(event.target(0)?, event.at(3));
+            attached.forwarder.probed(now, event.target(0)?, well);
         }
         "FromPeer" => {
             let note = STANDARD.decode(event.text(1)?).map_err(|_| event.wrong(1))?;
-            forwarder.told(now, PeerId(event.small(0)?), &note);
+            attached.forwarder.told(now, PeerId(event.small(0)?), &note);
         }
-        "Accepted" => forwarder.begun(now, &event.envelope(0)?, DispatchNo(event.small(3)?), host),
+        "Accepted" => attached.forwarder.begun(now, &event.envelope(0)?, DispatchNo(event.small(3)?), host),
         other => return Err(format!("unknown event {other:?}")),
     }
     Ok(())
--- a/src/control.rs
+++ b/src/control.rs
@@ -34,7 +34,9 @@
 /// Spacing of calls to a route that refuses them: grown by each refusal and shrunk by each answer.
 const SPACING_GROWTH: f64 = 1.6;
 const SPACING_SHRINK: f64 = 0.93;
-/// The same for refusals that no limit explains: a full queue, or what is down and returns cold.
+/// The same shrinking where answers come once in seconds, and each tells as much as many do.
+const SELDOM_SHRINK: f64 = 0.75;
+/// The same growth for refusals that no limit explains: a full queue, or what is down and returns cold.
 const OPAQUE_GROWTH: f64 = 4.0;
 /// A refusal is a limit's where less of that was left. Reports are up to a second old.
 const USED_UP: f64 = 0.5;
@@ -50,8 +52,6 @@
 /// In the same gaps, as the list may be half too high: first spacing after a refusal, and the widest.
 const OVERLISTED: f64 = 1.5;
 const WIDEST_GAPS: f64 = 8.0;
-/// The same shrinking where an answer comes once in such a gap of seconds, and each tells as much as many do.
-const SELDOM_SHRINK: f64 = 0.75;
 /// Weight of a new response time in the running mean.
 const MEAN_STEP: f64 = 0.2;
 /// A route is silent when no answer came for so many mean response times, and for so many more divided by the
@@ -499,7 +499,7 @@
             return false;
         }
         // A further dispatch goes where answers have earned it, or where nothing was sent for a while. What
-        // was refused may also go by the spacing alone, but where own calls are too few to learn that.
+        // was refused may also go by the spacing alone; where forwarders and own calls are few, after a usual gap.
         let usual = self.usual_rate(target, now).max(0.01);
         let promised = self.card.categories[envelope.category].promised;
         let idle = now.saturating_sub(target.last_sent);
--- a/src/host.rs
+++ b/src/host.rs
@@ -73,6 +73,14 @@
     pub limit: f64,
 }
 
+impl LimitReport {
+    /// Both as they were told. What is missing, or is no share or no rate, is none; a noisy share is at most one.
+    pub fn told(left: Option<f64>, limit: Option<f64>) -> Option<LimitReport> {
+        let sound = |value: &f64| value.is_finite() && *value >= 0.0;
+        Some(LimitReport { left: left.filter(sound)?.min(1.0), limit: limit.filter(sound)? })
+    }
+}
+
 /// What the list's weights are.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Weights {
@@ -172,7 +180,6 @@
     /// Have [`Forwarder::alarm`](crate::Forwarder::alarm) called once this span has passed.
     fn wake(&mut self, after: Duration);
     fn probe(&mut self, target: TargetId);
-    fn close_idle(&mut self, target: TargetId);
     fn tell(&mut self, peer: Option<PeerId>, note: &[u8]);
     fn subscribe(&mut self, on: bool);
     fn fetch_list(&mut self);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,7 +32,6 @@
 //!         println!("call alarm and turn in {after:?}");
 //!     }
 //!     fn probe(&mut self, _: TargetId) {}
-//!     fn close_idle(&mut self, _: TargetId) {}
 //!     fn tell(&mut self, _: Option<PeerId>, _: &[u8]) {}
 //!     fn subscribe(&mut self, _: bool) {}
 //!     fn fetch_list(&mut self) {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -92,7 +92,6 @@
     pub outer_limit: Duration,
     pub over_share: bool,
     pub dispatches: u32,
-    pub last_sent: Duration,
     /// Answers with an error that it got.
     pub errors: u32,
     pub out: BTreeSet<DispatchNo>,
@@ -118,7 +117,6 @@
             outer_limit,
             over_share,
             dispatches: 0,
-            last_sent: Duration::ZERO,
             errors: 0,
             out: BTreeSet::new(),
             may_have_run: None,
@@ -378,7 +376,6 @@
         if let Some(envelope) = self.envelopes.get_mut(id) {
             no = DispatchNo(envelope.dispatches);
             envelope.dispatches += 1;
-            envelope.last_sent = dispatch.sent;
             envelope.out.insert(no);
             let destination = envelope.destination;
             self.destinations.entry(destination).or_default().last_turn = dispatch.call;
