What held when a call was decided is checked again once its connection is up

To blame: carry() in calls.rs wrote the whole call whatever had become of its envelopes; see_through() told the ends of one call one by one, so that the first could go out anew while the call still held the others; Forwarder::send gave each envelope of a call a time-out of its own.

Now the module says with each dispatch until when it may begin (Spans::begin_within: receipt, planned stop) and all envelopes of a call are waited for equally long where no second copy is allowed; the courier asks once more when the connection is up (Boarding, Connections::open_to), and what stays behind never ran. What ends in the same instant is told together, and the connection is closed before that.

--- a/benches/turns.rs
+++ b/benches/turns.rs
@@ -23,7 +23,7 @@
 }
 
 impl Host for Sent {
-    fn dispatch(&mut self, envelope: &EnvelopeId, _: TargetId, _: Duration) {
+    fn dispatch(&mut self, envelope: &EnvelopeId, _: TargetId, _: Spans) {
         let no = self.dispatches.entry(envelope.0.clone()).or_default();
         self.out.push_back((envelope.clone(), DispatchNo(*no)));
         *no += 1;
--- a/crates/emulator/src/policies/module.rs
+++ b/crates/emulator/src/policies/module.rs
@@ -52,7 +52,7 @@
     }
 
     fn withdrawn(&mut self, id: &EnvelopeId, host: &mut dyn Host) {
-        self.0.withdrawn(id, host);
+        self.0.end(id, host);
     }
 
     fn alarm(&mut self, now: Duration) {
--- a/crates/emulator/src/world/forwarders.rs
+++ b/crates/emulator/src/world/forwarders.rs
@@ -6,7 +6,7 @@
 
 use rand::RngExt;
 use reeddock::{
-    DestinationId, DispatchNo, EnvelopeId, Host, KeyId, Outcome, Past, PeerId, Standing, TargetId,
+    DestinationId, DispatchNo, EnvelopeId, Host, KeyId, Outcome, Past, PeerId, Spans, Standing, TargetId,
 };
 
 use super::{Event, World};
@@ -121,8 +121,8 @@
 struct Wishes(Vec<Asked>);
 
 impl Host for Wishes {
-    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, time_out: Duration) {
-        self.0.push(Asked::Dispatch(envelope.clone(), target, time_out));
+    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, spans: Spans) {
+        self.0.push(Asked::Dispatch(envelope.clone(), target, spans.time_out));
     }
     fn call_off(&mut self, envelope: &EnvelopeId, dispatch: DispatchNo) {
         self.0.push(Asked::CallOff(envelope.clone(), dispatch));
--- a/crates/emulator/tests/emulator/spoilt.rs
+++ b/crates/emulator/tests/emulator/spoilt.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use reeddock::{DispatchNo, EnvelopeId, Host, Outcome, Past, PeerId, Standing, TargetId, Terms};
+use reeddock::{DispatchNo, EnvelopeId, Host, Outcome, Past, PeerId, Spans, Standing, TargetId, Terms};
 use reeddock_emulator::policies::Module;
 use reeddock_emulator::policy::{HandIn, ListLine, Policy, Sight};
 
@@ -48,9 +48,11 @@
 struct Tap<'h>(&'h mut dyn Host, Defect);
 
 impl Host for Tap<'_> {
-    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, time_out: Duration) {
-        let time_out = if let Defect::CutsShort(span) = self.1 { span } else { time_out };
-        self.0.dispatch(envelope, target, time_out);
+    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, mut spans: Spans) {
+        if let Defect::CutsShort(span) = self.1 {
+            spans.time_out = span;
+        }
+        self.0.dispatch(envelope, target, spans);
     }
     fn call_off(&mut self, envelope: &EnvelopeId, dispatch: DispatchNo) {
         self.0.call_off(envelope, dispatch);
--- a/crates/forwarder/src/calls.rs
+++ b/crates/forwarder/src/calls.rs
@@ -1,25 +1,28 @@
 //! Calls to targets: a service that carries one call and tells how each of its envelopes ended, and the task
 //! that stops waiting for it.
 
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use http_body_util::{BodyExt, Limited};
+use futures_util::FutureExt;
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use reeddock::{DispatchNo, EnvelopeId, LimitReport, TargetId};
 use reeddock_protocol::{self as protocol, Ending, Letter};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tower::{Service, ServiceExt};
 
-use crate::connections::{Connection, Connections};
+use crate::connections::{locked, Connection, Connections};
 use crate::owner::Event;
 
 /// One call to one target.
@@ -27,16 +30,54 @@
     pub target: TargetId,
     pub to: SocketAddr,
     pub letters: Vec<Letter>,
-    /// How long its answer is waited for.
-    pub wait: Duration,
-    /// Set before its first byte is written. One that is given up earlier never ran.
-    pub begun: Arc<AtomicBool>,
+    /// Until when an answer for each is waited for.
+    pub until: Vec<Instant>,
+    pub boarding: Boarding,
+}
+
+/// Which letters of a call still go once its connection is up, shared by who carries the call and who waits for
+/// its ends: seconds may pass until then, and what has its end by then is never sent.
+#[derive(Clone, Default)]
+pub struct Boarding(Arc<Mutex<Boarded>>);
+
+#[derive(Default)]
+struct Boarded {
+    /// The first byte is about to be written.
+    begun: bool,
+    stayed: BTreeSet<usize>,
+}
+
+impl Boarding {
+    /// The places that go, of so many; from here on each may have run.
+    fn begin(&self, places: usize) -> Vec<usize> {
+        let mut boarded = locked(&self.0);
+        boarded.begun = true;
+        (0..places).filter(|place| !boarded.stayed.contains(place)).collect()
+    }
+
+    /// Nothing of it was written after all.
+    fn undo(&self) {
+        locked(&self.0).begun = false;
+    }
+
+    /// The letter is waited for no longer; says whether it has gone. If not, it stays.
+    fn leave(&self, place: usize) -> bool {
+        let mut boarded = locked(&self.0);
+        if !boarded.begun {
+            boarded.stayed.insert(place);
+        }
+        !boarded.stayed.contains(&place)
+    }
+
+    fn begun(&self) -> bool {
+        locked(&self.0).begun
+    }
 }
 
 /// What came of a call.
 pub struct Carried {
-    /// How each envelope of it ended, in their order.
-    pub endings: Vec<Ending>,
+    /// How each envelope that went ended, by its place in the call.
+    pub endings: Vec<(usize, Ending)>,
     /// A wait that the target asks for beside what it took on.
     pub wait: Option<Duration>,
     /// What its answer tells of the limit of its route.
@@ -67,47 +108,59 @@
     fn call(&mut self, call: Call) -> Self::Future {
         let connections = self.connections.clone();
         Box::pin(async move {
-            let count = call.letters.len();
-            let none = |ending| Carried { endings: vec![ending; count], wait: None, report: None };
+            let places = 0..call.letters.len();
+            let none = |ending| Carried {
+                endings: places.map(|place| (place, ending)).collect(),
+                wait: None,
+                report: None,
+            };
             Ok(carry(connections, call).await.unwrap_or_else(none))
         })
     }
 }
 
 async fn carry(connections: Connections, call: Call) -> Result<Carried, Ending> {
-    let request = match &call.letters[..] {
-        [letter] => protocol::one(call.to, letter, call.wait),
-        letters => protocol::bundle(call.to, letters, call.wait),
-    };
-    let request = request.map_err(|_| Ending::NotBegun)?;
-    let alone = call.letters.len() == 1;
-    let completed = |report| Carried { endings: vec![Ending::Completed], wait: None, report };
-    let (mut connection, answer) = loop {
+    let (mut connection, answer, aboard) = loop {
         let mut connection = connections.take(call.target, call.to).await?;
-        if connections.resting(call.target) {
-            if connection.ready().await {
-                connections.put(call.target, connection);
+        // What held when the call was decided may have ended while its connection came up.
+        let open = connections.open_to(call.target);
+        let aboard = open.map(|()| call.boarding.begin(call.letters.len()));
+        let aboard = match aboard {
+            Ok(aboard) if !aboard.is_empty() => aboard,
+            turned_back => {
+                call.boarding.undo();
+                if connection.ready().await {
+                    connections.put(call.target, connection);
+                }
+                return Err(turned_back.err().unwrap_or(Ending::NotBegun));
             }
-            return Err(Ending::ToldToWait);
-        }
-        call.begun.store(true, Ordering::Relaxed);
+        };
+        let alone = aboard.len() == 1;
+        let request = request(&call, &aboard).inspect_err(|_| call.boarding.undo())?;
         let said_ok = connection.says_ok();
         let answer = tokio::select! {
             biased;
-            answer = connection.send(request.clone()) => answer,
+            answer = connection.send(request) => answer,
             // The rest of the head may have no end, or can't be read.
-            () = async { said_ok.await; sleep(REST_SHORTLY).await }, if alone => return Ok(completed(None)),
+            () = async { said_ok.await; sleep(REST_SHORTLY).await }, if alone => {
+                return Ok(Carried { endings: vec![(aboard[0], Ending::Completed)], wait: None, report: None });
+            }
         };
         if answer.is_ok() || !connection.was_over() {
             connections.used(&connection, answer.is_ok());
-            break (connection, answer);
+            break (connection, answer, aboard);
         }
-        call.begun.store(false, Ordering::Relaxed);
+        call.boarding.undo();
+    };
+    let alone = aboard.len() == 1;
+    let all = |ending, wait, report| {
+        let endings = aboard.iter().map(|place| (*place, ending)).collect();
+        Carried { endings, wait, report }
     };
     let (head, body) = match answer {
         Ok(answer) => answer.into_parts(),
-        Err(_) if alone && connection.said_ok() => return Ok(completed(None)),
-        Err(ending) => return Err(ending),
+        Err(_) if alone && connection.said_ok() => return Ok(all(Ending::Completed, None, None)),
+        Err(ending) => return Ok(all(ending, None, None)),
     };
     let report = protocol::report_of(&head);
     if alone && protocol::ending_of(&head) == Ending::Completed {
@@ -117,13 +170,12 @@
         if timeout(REST_SHORTLY, &mut rest).await.is_err() {
             tokio::spawn(timeout(REST_AT_MOST, rest));
         }
-        return Ok(completed(report));
+        return Ok(all(Ending::Completed, None, report));
     }
     // What is said of each stands in the body; and only a whole answer proves that nothing has run.
     let Ok(whole) = Limited::new(body, LONGEST_ANSWER).collect().await else {
         // A wait stands in the head, and holds whatever became of the rest.
-        let endings = vec![Ending::Spoilt; call.letters.len()];
-        return Ok(Carried { endings, wait: protocol::wait_of(&head), report });
+        return Ok(all(Ending::Spoilt, protocol::wait_of(&head), report));
     };
     let whole = whole.to_bytes();
     let clean = connection.ready().await;
@@ -131,23 +183,42 @@
         connections.put(call.target, connection);
     }
     if alone {
-        return Ok(Carried { endings: vec![protocol::ending_of(&head)], wait: None, report });
+        return Ok(all(protocol::ending_of(&head), None, report));
     }
-    let endings = protocol::endings_of_bundle(&head, &whole, clean, &call.letters);
+    let letters = aboard_of(&call, &aboard);
+    let endings = protocol::endings_of_bundle(&head, &whole, clean, &letters);
+    let endings = aboard.iter().copied().zip(endings).collect();
     Ok(Carried { endings, wait: protocol::wait_of(&head), report })
 }
 
+fn aboard_of(call: &Call, aboard: &[usize]) -> Vec<Letter> {
+    aboard.iter().map(|place| call.letters[*place].clone()).collect()
+}
+
+/// What those aboard travel in, with the longest of their waits.
+fn request(call: &Call, aboard: &[usize]) -> Result<Request<Full<Bytes>>, Ending> {
+    let letters = aboard_of(call, aboard);
+    let until = aboard.iter().map(|place| call.until[*place]).max();
+    let wait = until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()));
+    let request = match &letters[..] {
+        [letter] => protocol::one(call.to, letter, wait),
+        letters => protocol::bundle(call.to, letters, wait),
+    };
+    request.map_err(|_| Ending::NotBegun)
+}
+
 async fn finish(connections: Connections, target: TargetId, mut connection: Connection, body: Incoming) {
     if Limited::new(body, LONGEST_ANSWER).collect().await.is_ok() && connection.ready().await {
         connections.put(target, connection);
     }
 }
 
-/// One envelope of a call that is out, and when to stop waiting for it.
+/// One envelope of a call that is out.
 pub struct Dispatched {
     pub envelope: EnvelopeId,
     pub no: DispatchNo,
-    pub time_out: Duration,
+    /// Its first byte leaves by then or never.
+    pub begin_by: Instant,
     pub called_off: oneshot::Receiver<()>,
 }
 
@@ -159,44 +230,67 @@
     dispatched: Vec<Dispatched>,
     owner: mpsc::Sender<Event>,
 ) {
+    let (target, boarding) = (call.target, call.boarding.clone());
     let mut waiting = Vec::new();
     let mut patience = FuturesUnordered::new();
-    for (place, d) in dispatched.into_iter().enumerate() {
+    for (place, (d, until)) in dispatched.into_iter().zip(call.until.clone()).enumerate() {
         waiting.push(Some((d.envelope, d.no)));
-        let (time_out, called_off) = (d.time_out, d.called_off);
+        let (called_off, boarding) = (d.called_off, boarding.clone());
+        let never_began = async move {
+            sleep_until(d.begin_by).await;
+            if boarding.begun() {
+                std::future::pending().await
+            }
+        };
         patience.push(async move {
             tokio::select! {
-                _ = sleep(time_out) => (place, Ending::TimedOut),
+                () = sleep_until(until) => (place, Ending::TimedOut),
+                () = never_began => (place, Ending::TimedOut),
                 Ok(()) = called_off => (place, Ending::CalledOff),
             }
         });
     }
-    let (target, begun) = (call.target, call.begun.clone());
-    let mut carried = courier.oneshot(call);
-    while waiting.iter().any(Option::is_some) {
+    let mut carried = Some(courier.oneshot(call));
+    while let Some(carrying) = carried.as_mut().filter(|_| waiting.iter().any(Option::is_some)) {
         let ended = tokio::select! {
             biased;
-            Ok(Carried { endings, wait, report }) = &mut carried => {
+            Ok(Carried { endings, wait, report }) = carrying => {
                 if let Some(report) = report {
                     let _ = owner.send(Event::Reported { target, report }).await;
                 }
                 if let Some(wait) = wait {
                     let _ = owner.send(Event::Wait { target, wait }).await;
                 }
-                endings.into_iter().enumerate().collect()
+                carried = None;
+                endings
             }
-            Some((place, ending)) = patience.next() => {
-                let ending = match ending {
-                    // No connection had come up by then.
-                    Ending::TimedOut if !begun.load(Ordering::Relaxed) => Ending::NeverUp,
-                    Ending::CalledOff if !begun.load(Ordering::Relaxed) => Ending::NotBegun,
-                    given_up => given_up,
-                };
-                vec![(place, ending)]
+            Some(given_up) = patience.next() => {
+                // What ends in the same instant is told together, so that nothing of it goes out anew while the
+                // call is still out for the others.
+                let mut ended = vec![given_up];
+                while let Some(Some(also)) = patience.next().now_or_never() {
+                    ended.push(also);
+                }
+                for (place, ending) in &mut ended {
+                    *ending = match (boarding.leave(*place), *ending) {
+                        // No connection had come up by then.
+                        (false, Ending::TimedOut) => Ending::NeverUp,
+                        (false, _) => Ending::NotBegun,
+                        (true, given_up) => given_up,
+                    };
+                }
+                ended
             }
         };
-        for (place, ending) in ended {
-            let Some((envelope, no)) = waiting.get_mut(place).and_then(Option::take) else { continue };
+        let ended: Vec<_> = ended
+            .into_iter()
+            .filter_map(|(place, ending)| Some((waiting.get_mut(place)?.take()?, ending)))
+            .collect();
+        if waiting.iter().all(Option::is_none) {
+            // Closed before it is told.
+            carried = None;
+        }
+        for ((envelope, no), ending) in ended {
             // The owner lives as long as the program.
             let _ = owner.send(Event::Ended { envelope, no, ending }).await;
         }
--- a/crates/forwarder/src/connections.rs
+++ b/crates/forwarder/src/connections.rs
@@ -1,6 +1,6 @@
 //! Connections to other machines: opened, kept while idle, and watched for how much of a request has left.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
@@ -350,6 +350,8 @@
     uses: Arc<Mutex<Uses>>,
     /// Until when targets asked to be left alone.
     rests: Arc<Mutex<BTreeMap<TargetId, Instant>>>,
+    /// Targets that the list calls leaving or gone.
+    left: Arc<Mutex<BTreeSet<TargetId>>>,
     seats: Arc<Semaphore>,
     connect_within: Duration,
     idle_for: Duration,
@@ -361,6 +363,7 @@
             idle: Arc::default(),
             uses: Arc::default(),
             rests: Arc::default(),
+            left: Arc::default(),
             seats: Arc::new(Semaphore::new(most)),
             connect_within,
             // A request must arrive before the target closes, which counts from when it wrote its answer.
@@ -403,8 +406,32 @@
         *at = until.max(*at);
     }
 
-    pub fn resting(&self, target: TargetId) -> bool {
-        locked(&self.rests).get(&target).is_some_and(|until| *until > Instant::now())
+    /// What the list says of a target. The same calls must not go to one that leaves, however long they waited.
+    pub fn listed(&self, target: TargetId, active: bool) {
+        let mut left = locked(&self.left);
+        if active {
+            left.remove(&target);
+        } else {
+            left.insert(target);
+        }
+    }
+
+    /// Forgets what the list said of targets that nothing is known of any more.
+    pub fn forget(&self, known: impl Fn(&TargetId) -> bool) {
+        locked(&self.left).retain(known);
+    }
+
+    /// Whether a call that has waited for its connection may still begin.
+    pub fn open_to(&self, target: TargetId) -> Result<(), Ending> {
+        if locked(&self.left).contains(&target) {
+            return Err(Ending::TargetLeaves);
+        }
+        let resting = locked(&self.rests).get(&target).is_some_and(|until| *until > Instant::now());
+        if resting {
+            Err(Ending::ToldToWait)
+        } else {
+            Ok(())
+        }
     }
 
     /// The last request on this connection was answered, or has broken it.
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use reeddock::{
     DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, LimitReport, Listing, Outcome, Past,
-    PeerId, Standing, TargetId,
+    PeerId, Spans, Standing, TargetId,
 };
 use reeddock_ledger::{Ledger, Record, Taken, Unended};
 use reeddock_protocol::{bundles, Answer, Ending, GivenUp, HandIn, Letter, ListPart, Notice};
@@ -62,7 +62,7 @@
 
 /// What the module asked for, in its order.
 enum Asked {
-    Dispatch(EnvelopeId, TargetId, Duration),
+    Dispatch(EnvelopeId, TargetId, Spans),
     CallOff(EnvelopeId, DispatchNo),
     End(EnvelopeId, GivenUp),
 }
@@ -74,8 +74,8 @@
 }
 
 impl Host for Desk {
-    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, time_out: Duration) {
-        self.asked.push(Asked::Dispatch(envelope.clone(), target, time_out));
+    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, spans: Spans) {
+        self.asked.push(Asked::Dispatch(envelope.clone(), target, spans));
     }
 
     fn call_off(&mut self, envelope: &EnvelopeId, dispatch: DispatchNo) {
@@ -337,6 +337,7 @@
                 zone: &entry.zone,
                 kind: &entry.kind,
             });
+            self.courier.connections.listed(target, entry.standing == Standing::Active);
             let batch = self.batches.get(&entry.kind).copied().unwrap_or(1);
             // One that is gone may still be spoken of, though its address is not told any more.
             let Some(address) = entry.address else { continue };
@@ -363,8 +364,12 @@
         let known = &self.forwarder.targets;
         self.state.names.retain(|_, id| known.contains_key(id));
         self.state.places.retain(|id, _| known.contains_key(id));
+        let connections = &self.courier.connections;
+        connections.forget(|id| known.contains_key(id));
         for (id, _) in known.iter().filter(|(_, t)| t.standing == Standing::Gone) {
-            self.courier.connections.close_idle(*id);
+            // A whole list does not name it.
+            connections.listed(*id, false);
+            connections.close_idle(*id);
         }
     }
 
@@ -462,7 +467,7 @@
             self.ended(dispatch.id, dispatch.no, Ending::NotBegun, now);
         }
         for id in gone {
-            self.forwarder.withdrawn(&id, &mut self.state.desk);
+            self.forwarder.end(&id, &mut self.state.desk);
             self.state.forget(&id);
             self.state.records.push(Record::Ended { id: id.0.to_string(), notice: None });
         }
@@ -508,19 +513,21 @@
             let (to, batch) = (place.address, place.batch);
             // One time is told for a call, and a target may take it for its first envelope's: an answer that
             // comes after that is none, for the others too. So the one that is waited for longest leads.
-            line.sort_by_key(|d| std::cmp::Reverse(d.time_out));
+            line.sort_by_key(|d| std::cmp::Reverse(d.spans.time_out));
             let letter = |d: &Departing| Letter { id: d.id.clone(), body: d.body.clone() };
             let mut rest: Vec<Letter> = line.iter().map(letter).collect();
             for count in bundles(&rest, batch) {
                 let letters: Vec<Letter> = rest.drain(..count).collect();
-                let wait = line[..count].iter().map(|d| d.time_out).max().unwrap_or_default();
-                let mut dispatched = Vec::new();
-                for Departing { id, no, time_out, .. } in line.drain(..count) {
+                let now = Instant::now();
+                let (mut dispatched, mut until) = (Vec::new(), Vec::new());
+                for Departing { id, no, spans, .. } in line.drain(..count) {
                     let (stop, called_off) = oneshot::channel();
                     self.state.out.insert((id.clone(), no), stop);
-                    dispatched.push(Dispatched { envelope: id, no, time_out, called_off });
+                    until.push(now + spans.time_out);
+                    let begin_by = now + spans.begin_within;
+                    dispatched.push(Dispatched { envelope: id, no, begin_by, called_off });
                 }
-                let call = Call { target, to, letters, wait, begun: Arc::default() };
+                let call = Call { target, to, letters, until, boarding: Default::default() };
                 tokio::spawn(see_through(self.courier.clone(), call, dispatched, self.events.clone()));
             }
         }
@@ -537,7 +544,7 @@
 /// What one turn of the module comes down to.
 #[derive(Default)]
 struct Orders {
-    going: Vec<(EnvelopeId, TargetId, Duration)>,
+    going: Vec<(EnvelopeId, TargetId, Spans)>,
     called_off: Vec<(EnvelopeId, DispatchNo)>,
     notices: Vec<Notice>,
 }
@@ -547,7 +554,7 @@
     id: EnvelopeId,
     no: DispatchNo,
     target: TargetId,
-    time_out: Duration,
+    spans: Spans,
     body: Bytes,
 }
 
@@ -562,7 +569,7 @@
         let mut orders = Orders::default();
         for asked in std::mem::take(&mut self.desk.asked) {
             match asked {
-                Asked::Dispatch(id, target, time_out) => orders.going.push((id, target, time_out)),
+                Asked::Dispatch(id, target, spans) => orders.going.push((id, target, spans)),
                 Asked::CallOff(id, no) => orders.called_off.push((id, no)),
                 Asked::End(id, end) => {
                     if let Some(at) = self.fresh.iter().position(|f| f.id == id) {
@@ -599,14 +606,14 @@
     }
 
     /// Dispatches of an envelope are numbered in the order in which the module asked for them.
-    fn numbered(&mut self, going: Vec<(EnvelopeId, TargetId, Duration)>) -> Vec<Departing> {
+    fn numbered(&mut self, going: Vec<(EnvelopeId, TargetId, Spans)>) -> Vec<Departing> {
         let mut departing = Vec::new();
-        for (id, target, time_out) in going {
+        for (id, target, spans) in going {
             let Some(owed) = self.owed.get_mut(&id) else { continue };
             let (no, body) = (DispatchNo(owed.dispatches), owed.body.clone());
             owed.dispatches += 1;
-            tracing::debug!(id = &*id.0, no = no.0, ?target, ?time_out, "a dispatch begins");
-            departing.push(Departing { id, no, target, time_out, body });
+            tracing::debug!(id = &*id.0, no = no.0, ?target, ?spans, "a dispatch begins");
+            departing.push(Departing { id, no, target, spans, body });
         }
         departing
     }
--- a/crates/forwarder/tests/loopback/crossings.rs
+++ b/crates/forwarder/tests/loopback/crossings.rs
@@ -1,7 +1,28 @@
 //! What is still owed at the instant in which something ends. Each story forces its crossing.
 
+use reeddock::TargetId;
+use reeddock_forwarder::calls::{see_through, Courier};
+use reeddock_forwarder::connections::Connections;
+use reeddock_forwarder::owner::Event;
+use reeddock_protocol::Ending;
+use tokio::io::AsyncWriteExt;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
 use crate::stand_ins::*;
 
+/// The next end that the owner hears of.
+async fn end(heard: &mut mpsc::Receiver<Event>) -> (String, Ending) {
+    match heard.recv().await {
+        Some(Event::Ended { envelope, ending, .. }) => (envelope.0.to_string(), ending),
+        _ => panic!("an end"),
+    }
+}
+
+fn patient() -> Courier {
+    Courier { connections: Connections::new(4, ms(30_000), ms(5000)) }
+}
+
 #[test]
 fn the_envelope_that_is_waited_for_longest_leads_its_call() {
     story(async {
@@ -19,3 +40,80 @@
         life.kill();
     });
 }
+
+#[test]
+fn what_had_its_end_while_its_connection_came_up_is_not_sent_with_the_others() {
+    story(async {
+        let target = Crowded::new();
+        let (events, mut heard) = mpsc::channel(4);
+        let call =
+            call(target.address, &[("stays", ms(20_000)), ("late", ms(100)), ("unwanted", ms(20_000))]);
+        let (dispatched, mut stops) = dispatched(&call, ms(20_000));
+        tokio::spawn(see_through(patient(), call, dispatched, events));
+        stops.remove(2).send(()).unwrap();
+        assert_eq!(end(&mut heard).await, ("unwanted".into(), Ending::NotBegun));
+        assert_eq!(end(&mut heard).await, ("late".into(), Ending::NeverUp));
+        let mut stream = target.open().await;
+        let sent = read_message(&mut stream).await.unwrap();
+        assert_eq!((sent.line.as_str(), sent.id()), ("POST /events HTTP/1.1", "stays"));
+        stream.write_all(OK.as_bytes()).await.unwrap();
+        assert_eq!(end(&mut heard).await, ("stays".into(), Ending::Completed));
+    });
+}
+
+#[test]
+fn what_may_not_begin_any_more_when_its_connection_comes_up_never_ran() {
+    story(async {
+        let target = Crowded::new();
+        let (events, mut heard) = mpsc::channel(4);
+        let call = call(target.address, &[("a", ms(20_000)), ("b", ms(20_000))]);
+        let (mut dispatched, _stops) = dispatched(&call, ms(20_000));
+        // Its receipt runs out, say, long before an answer would be given up on.
+        dispatched[0].begin_by = Instant::now() + ms(100);
+        tokio::spawn(see_through(patient(), call, dispatched, events));
+        let (id, ending) = end(&mut heard).await;
+        assert_eq!((id.as_str(), ending, ending.outcome().never_ran()), ("a", Ending::NeverUp, true));
+        let sent = read_message(&mut target.open().await).await.unwrap();
+        assert_eq!(sent.id(), "b");
+    });
+}
+
+#[test]
+fn a_target_that_leaves_or_asks_to_wait_while_a_connection_comes_up_gets_nothing_on_it() {
+    story(async {
+        for expected in [Ending::TargetLeaves, Ending::ToldToWait] {
+            let target = Crowded::new();
+            let (events, mut heard) = mpsc::channel(4);
+            let call = call(target.address, &[("a", ms(20_000)), ("b", ms(20_000))]);
+            let (dispatched, _stops) = dispatched(&call, ms(20_000));
+            let courier = patient();
+            tokio::spawn(see_through(courier.clone(), call, dispatched, events));
+            match expected {
+                Ending::TargetLeaves => courier.connections.listed(TargetId(1), false),
+                _ => courier.connections.rest(TargetId(1), Instant::now() + ms(20_000)),
+            }
+            let mut stream = target.open().await;
+            for id in ["a", "b"] {
+                assert_eq!(end(&mut heard).await, (id.into(), expected));
+            }
+            assert!(expected.outcome().never_ran());
+            drop(courier);
+            assert!(read_message(&mut stream).await.is_none(), "nothing but its end");
+        }
+    });
+}
+
+#[test]
+fn a_target_that_is_active_again_is_called_again() {
+    story(async {
+        let world = World::new(|_| Reply::Say(OK.into())).await;
+        let mut life = world.forwarder().await;
+        world.tell(list(2, false, &[listed("t", world.target.address, 3, "Terminating")]));
+        world.tell(list(3, false, &[listed("t", world.target.address, 3, "Ready")]));
+        until("the watch", || (world.platform.got().len() == 1).then_some(())).await;
+        assert_eq!(hand_in(&life, "a", "note").await, 202);
+        until("the call", || world.target.got().pop()).await;
+        world.settled().await;
+        life.kill();
+    });
+}
--- a/crates/forwarder/tests/loopback/stand_ins.rs
+++ b/crates/forwarder/tests/loopback/stand_ins.rs
@@ -9,8 +9,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use reeddock::{CategoryTerms, Effect, EnvelopeId, Group, TargetId, Terms, Weights};
-use reeddock_forwarder::calls::Call;
+use reeddock::{CategoryTerms, DispatchNo, Effect, EnvelopeId, Group, TargetId, Terms, Weights};
+use reeddock_forwarder::calls::{Call, Dispatched};
 use reeddock_forwarder::limits::Allowance;
 use reeddock_forwarder::{serve_on, Post};
 use reeddock_ledger::look;
@@ -274,6 +274,7 @@
             slots: Some(8),
             room: Some(50),
             dispatch_cap: Some(6),
+            may_duplicate: true,
             come_back: Some(ms(3000)),
             weights: if self.asking { Weights::Rates } else { Weights::RoughRates },
             answers_report: self.asking,
@@ -342,6 +343,54 @@
 }
 
 pub fn call_to(target: &StandIn, id: &str) -> Call {
-    let letters = vec![Letter { id: EnvelopeId(id.into()), body: Default::default() }];
-    Call { target: TargetId(1), to: target.address, letters, wait: ms(5000), begun: Arc::default() }
+    call(target.address, &[(id, ms(5000))])
+}
+
+/// One call with these envelopes, each waited for so long.
+pub fn call(to: SocketAddr, envelopes: &[(&str, Duration)]) -> Call {
+    let letter = |id: &str| Letter { id: EnvelopeId(id.into()), body: Default::default() };
+    let now = tokio::time::Instant::now();
+    Call {
+        target: TargetId(1),
+        to,
+        letters: envelopes.iter().map(|(id, _)| letter(id)).collect(),
+        until: envelopes.iter().map(|(_, wait)| now + *wait).collect(),
+        boarding: Default::default(),
+    }
+}
+
+/// The same envelopes as the owner sends them out, with what calls each off.
+pub fn dispatched(call: &Call, begin_within: Duration) -> (Vec<Dispatched>, Vec<oneshot::Sender<()>>) {
+    let begin_by = tokio::time::Instant::now() + begin_within;
+    let one = |letter: &Letter| {
+        let (stop, called_off) = oneshot::channel();
+        (Dispatched { envelope: letter.id.clone(), no: DispatchNo(0), begin_by, called_off }, stop)
+    };
+    call.letters.iter().map(one).unzip()
+}
+
+/// A target whose places are all taken: connections come up once it opens.
+pub struct Crowded {
+    pub address: SocketAddr,
+    listener: std::net::TcpListener,
+    _taken: std::net::TcpStream,
+}
+
+impl Crowded {
+    pub fn new() -> Crowded {
+        let full = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        full.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        full.listen(0).unwrap();
+        let address = full.local_addr().unwrap().as_socket().unwrap();
+        let taken = std::net::TcpStream::connect(address).unwrap();
+        Crowded { address, listener: full.into(), _taken: taken }
+    }
+
+    /// Makes room; the next connection, once it has come up.
+    pub async fn open(&self) -> TcpStream {
+        self.listener.accept().unwrap();
+        self.listener.set_nonblocking(true).unwrap();
+        let listener = TcpListener::from_std(self.listener.try_clone().unwrap()).unwrap();
+        listener.accept().await.unwrap().0
+    }
 }
--- a/crates/forwarder/tests/loopback/stories.rs
+++ b/crates/forwarder/tests/loopback/stories.rs
@@ -1,19 +1,18 @@
 //! Stories of one forwarder, against stand-ins for targets, the platform and clients.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::Instant;
 
-use reeddock::{DispatchNo, EnvelopeId, LimitReport, TargetId};
-use reeddock_forwarder::calls::{see_through, Call, Courier, Dispatched};
+use reeddock::{LimitReport, TargetId};
+use reeddock_forwarder::calls::{see_through, Courier};
 use reeddock_forwarder::connections::Connections;
 use reeddock_forwarder::owner::Event;
-use reeddock_protocol::{Ending, Letter};
+use reeddock_protocol::Ending;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 use tower::Service;
 
@@ -569,11 +568,11 @@
         // Told by the answer to another call, while this one is on its way to a connection.
         connections.rest(TargetId(1), tokio::time::Instant::now() + ms(300));
         let early = courier.call(call_to(&target, "early")).await.unwrap();
-        assert_eq!((&early.endings[..], target.got().len()), (&[Ending::ToldToWait][..], 0));
+        assert_eq!((&early.endings[..], target.got().len()), (&[(0, Ending::ToldToWait)][..], 0));
         assert!(Ending::ToldToWait.outcome().never_ran());
-        until("the end of the wait", || (!connections.resting(TargetId(1))).then_some(())).await;
+        until("the end of the wait", || connections.open_to(TargetId(1)).ok()).await;
         let after = courier.call(call_to(&target, "after")).await.unwrap();
-        assert_eq!(after.endings, [Ending::Completed]);
+        assert_eq!(after.endings, [(0, Ending::Completed)]);
         assert_eq!(target.got()[0].connection, 0, "and finds the connection that came up for the other");
     });
 }
@@ -610,34 +609,22 @@
         let target = StandIn::start(|_| Reply::SayAndClose(cut.into())).await;
         let mut courier = Courier { connections: Connections::new(4, ms(1000), ms(5000)) };
         let carried = courier.call(call_to(&target, "cut")).await.unwrap();
-        assert_eq!((&carried.endings[..], carried.wait), (&[Ending::Spoilt][..], Some(ms(700))));
+        assert_eq!((&carried.endings[..], carried.wait), (&[(0, Ending::Spoilt)][..], Some(ms(700))));
     });
 }
 
 #[test]
 fn what_is_given_up_before_its_connection_came_up_never_ran() {
     story(async {
-        // Its places are taken, so that no connection comes up.
-        let full = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-        full.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-        full.listen(0).unwrap();
-        let to = full.local_addr().unwrap().as_socket().unwrap();
-        let _taken = std::net::TcpStream::connect(to).unwrap();
+        let target = Crowded::new();
         for called_off in [false, true] {
-            let (stop, stopped) = oneshot::channel();
             let (events, mut heard) = mpsc::channel(4);
-            let letters = vec![Letter { id: EnvelopeId("a".into()), body: Default::default() }];
-            let call = Call { target: TargetId(1), to, letters, wait: ms(100), begun: Arc::default() };
-            let dispatched = vec![Dispatched {
-                envelope: EnvelopeId("a".into()),
-                no: DispatchNo(0),
-                time_out: if called_off { ms(20_000) } else { ms(100) },
-                called_off: stopped,
-            }];
+            let call = call(target.address, &[("a", ms(if called_off { 20_000 } else { 100 }))]);
+            let (dispatched, mut stops) = dispatched(&call, ms(20_000));
             let courier = Courier { connections: Connections::new(4, ms(30_000), ms(5000)) };
             let carrying = tokio::spawn(see_through(courier, call, dispatched, events));
             if called_off {
-                stop.send(()).unwrap();
+                stops.remove(0).send(()).unwrap();
             }
             let Some(Event::Ended { ending, .. }) = heard.recv().await else { panic!("its end") };
             assert_eq!(ending, if called_off { Ending::NotBegun } else { Ending::NeverUp });
--- a/crates/protocol/src/ending.rs
+++ b/crates/protocol/src/ending.rs
@@ -40,6 +40,8 @@
     CalledOff,
     /// Not sent on: while its connection was being made, its target asked to be left alone for a while.
     ToldToWait,
+    /// Not sent on: while its connection was being made, the list said that its target leaves or is gone.
+    TargetLeaves,
     /// It never left: no descriptor was free for it, the ledger could not be written first, or it was given up
     /// before.
     NotBegun,
@@ -55,7 +57,7 @@
             // These two say nothing of room at the target, so that they are no `Full`.
             Ending::NoMoreDispatches | Ending::Over => Outcome::Unsent,
             Ending::NoSlot | Ending::NotReadableTogether => Outcome::Unsent,
-            Ending::ToldToWait | Ending::NotBegun => Outcome::Unsent,
+            Ending::ToldToWait | Ending::TargetLeaves | Ending::NotBegun => Outcome::Unsent,
             Ending::NotReadable => Outcome::Unreadable,
             Ending::Refused | Ending::NeverUp | Ending::CutShort => Outcome::NoConnection,
             Ending::Broken => Outcome::Broken,
--- a/crates/wirehost/src/lib.rs
+++ b/crates/wirehost/src/lib.rs
@@ -7,7 +7,7 @@
 
 use base64::{engine::general_purpose::STANDARD, Engine};
 use reeddock::{
-    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, Listing, Outcome, PeerId, Standing,
+    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, Listing, Outcome, PeerId, Spans, Standing,
     TargetId,
 };
 use reeddock_terms::{terms, ReportFields};
@@ -47,9 +47,9 @@
 }
 
 impl Host for Actions {
-    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, time_out: Duration) {
+    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, spans: Spans) {
         // The wire reads 0 as no time-out, and a negative one as none left.
-        let wait = match micros(time_out) {
+        let wait = match micros(spans.time_out) {
             0 => json!(-1),
             some => json!(some),
         };
@@ -277,7 +277,7 @@
             attached.reported(event.target(3)?, event.at(7));
             attached.forwarder.settled(now, &event.envelope(0)?, no, outcome, over, host);
         }
-        "Left" => attached.forwarder.withdrawn(&event.envelope(0)?, host),
+        "Left" => attached.forwarder.end(&event.envelope(0)?, host),
         "Alarm" => attached.forwarder.alarm(now),
         "HealthResult" => {
             let well = event.text(1)? == "delivered";
--- a/src/control.rs
+++ b/src/control.rs
@@ -119,6 +119,7 @@
             many: terms.forwarders.unwrap_or(1) > terms.slots.unwrap_or(u64::MAX),
             slots: terms.slots.unwrap_or(u64::MAX).min(1 << 20) as usize,
             room: terms.room.unwrap_or(u64::MAX).clamp(2, 1 << 30) as usize,
+            copies: terms.may_duplicate,
             dispatch_cap: terms.dispatch_cap.unwrap_or(u64::MAX).min(1 << 20) as u32,
             come_back: terms.come_back,
             window,
@@ -363,10 +364,6 @@
     /// What one outcome tells of the route and the target.
     fn learn(&mut self, dispatch: &Dispatch, now: Duration, outcome: Outcome) {
         let (route, id, sent) = (dispatch.route, dispatch.target, dispatch.sent);
-        if let Some(target) = self.targets.get_mut(&id) {
-            let answered = matches!(outcome, Outcome::Completed | Outcome::Error | Outcome::Full(_));
-            target.answered = answered.then_some(now);
-        }
         let Some(target) = self.targets.get(&id) else { return };
         let recovery_delay = self.recovery_delay(target, now);
         let of_route = self.members(route);
@@ -381,6 +378,8 @@
         let card = &self.card;
         let circuit = self.circuits.entry(route).or_default();
         let Some(target) = self.targets.get_mut(&id) else { return };
+        let answered = matches!(outcome, Outcome::Completed | Outcome::Error | Outcome::Full(_));
+        target.answered = answered.then_some(now);
         let (mut all_troubled, mut until) = (false, now);
         match outcome {
             Outcome::CalledOff | Outcome::Unreadable => return,
@@ -468,11 +467,7 @@
             }
         }
         if all_troubled {
-            for id in of_route {
-                if let Some(t) = self.targets.get_mut(&id) {
-                    t.trouble = Some(until);
-                }
-            }
+            self.change(&of_route, |t| t.trouble = Some(until));
         }
     }
 }
@@ -485,21 +480,17 @@
         if target.standing != Standing::Active || target.destination != envelope.destination {
             return false;
         }
-        let effect = self.effect(envelope);
-        if let (Some((first, at)), Effect::Receipted { window, group }) = (envelope.may_have_run, effect) {
-            let same_zone = self.targets.get(&at).is_some_and(|t| t.zone == target.zone);
-            if now >= first + window || (group == Group::Zone && id != at && !same_zone) {
-                return false;
-            }
-        }
-        // What is out when the program stops may have run, and an effectful one is lost by it.
-        let mean = self.circuits.get(&self.route_of(id, target)).and_then(|c| c.mean).or(self.pace);
-        let ends = now + seconds(TRIAL_MEANS * mean.unwrap_or_default());
-        if effect == Effect::Effectful && self.leave_by.is_some_and(|by| ends >= by) {
+        let strange = |(_, at): (Duration, TargetId)| {
+            id != at && self.targets.get(&at).is_none_or(|t| t.zone != target.zone)
+        };
+        let in_zone = matches!(self.effect(envelope), Effect::Receipted { group: Group::Zone, .. });
+        let stranger = in_zone && envelope.may_have_run.is_some_and(strange);
+        if stranger || now >= self.begin_by(envelope, self.route_of(id, target)) {
             return false;
         }
         // A further dispatch goes where answers have earned it, or where nothing was sent for a while. What
-        // was refused may also go by the spacing alone; where forwarders and own calls are few, after a usual gap.
+        // was refused may also go by the spacing alone; where forwarders and calls are few, after a usual
+        // gap.
         let usual = self.usual_rate(target, now).max(0.01);
         let promised = self.card.categories[envelope.category].promised;
         let idle = now.saturating_sub(target.last_sent);
@@ -512,6 +503,23 @@
         usual * promised.as_secs_f64() >= 1.0 || self.card.many || idle >= seconds(1.0 / usual)
     }
 
+    /// Until when a repeat may begin; without end for what needs no receipt.
+    fn receipt_until(&self, envelope: &Envelope) -> Duration {
+        match (envelope.may_have_run, self.effect(envelope)) {
+            (Some((first, _)), Effect::Receipted { window, .. }) => first + window,
+            _ => Duration::MAX,
+        }
+    }
+
+    /// Until when a dispatch may begin. What is out when the program stops may have run, and an effectful
+    /// envelope is lost by it.
+    fn begin_by(&self, envelope: &Envelope, route: Route) -> Duration {
+        let mean = self.circuits.get(&route).and_then(|c| c.mean).or(self.pace).unwrap_or_default();
+        let means = if self.effect(envelope) == Effect::Effectful { TRIAL_MEANS } else { 0.0 };
+        let stop = self.leave_by.map_or(Duration::MAX, |by| by.saturating_sub(seconds(means * mean)));
+        self.receipt_until(envelope).min(stop)
+    }
+
     /// Whether a connection to the target is likely to stand idle.
     fn connected(&self, target: &Target, now: Duration) -> bool {
         target.calls_out == 0 && target.answered.is_some_and(|at| now < at + self.card.connection_idle)
@@ -550,9 +558,8 @@
         drawn.into_iter().chain(kept).min_by_key(burden).unwrap_or(able[0])
     }
 
-    fn time_out(&self, envelope: &Envelope, route: Route, trial: bool, now: Duration) -> Duration {
+    fn time_out(&self, envelope: &Envelope, route: Route, trial: bool) -> Duration {
         let category = &self.card.categories[envelope.category];
-        let left = envelope.outer_limit.saturating_sub(now);
         let circuit = self.circuits.get(&route);
         let mean = circuit.and_then(|c| c.mean).unwrap_or(0.0);
         let growth = TIME_OUT_GROWTH.powi(circuit.map_or(0, |c| c.time_outs.min(2)) as i32);
@@ -561,7 +568,7 @@
         // No second trial goes while one is out, so that a long one would hide the return.
         let ordinary = (TIME_OUT_MEANS, category.promised);
         let (means, floor) = if trial { (TRIAL_MEANS, self.card.recovery_delay) } else { ordinary };
-        seconds((means * mean).max(floor.as_secs_f64()) * patience * growth).min(left)
+        seconds((means * mean).max(floor.as_secs_f64()) * patience * growth)
     }
 }
 
@@ -783,9 +790,15 @@
         self.calls.insert(call, going.len() as u32);
         let recovery_delay = self.recovery_delay(&self.targets[&target], now);
         let push = 1.0 + PUSH_PER_EXTRA * (going.len() - 1) as f64;
+        // One that timed out alone and went again would be a second copy of what its call still holds.
+        let waits = going.iter().filter_map(|id| Some(self.time_out(self.envelopes.get(id)?, route, trial)));
+        let together = waits.max().filter(|_| !self.card.copies).unwrap_or_default();
         for id in going {
             let Some(envelope) = self.envelopes.get(&id) else { continue };
-            let time_out = self.time_out(envelope, route, trial, now);
+            let left = envelope.outer_limit.saturating_sub(now);
+            let time_out = self.time_out(envelope, route, trial).max(together).min(left);
+            let begin_within = self.begin_by(envelope, route).saturating_sub(now).min(time_out);
+            let spans = Spans { begin_within, time_out };
             let further = envelope.dispatches > 0;
             let (category, then) = (envelope.category, after_dispatch(id.clone(), target, now));
             let no = self
@@ -798,7 +811,7 @@
                 circuit.re_arm(now, recovery_delay);
                 circuit.trial = Some((id.clone(), no));
             }
-            host.dispatch(&id, target, time_out);
+            host.dispatch(&id, target, spans);
         }
         let circuit = self.circuits.entry(route).or_default();
         circuit.calls_out += 1;
@@ -852,15 +865,13 @@
     fn give_up(&mut self, id: &EnvelopeId, now: Duration, host: &mut dyn Host) {
         let Some(envelope) = self.envelopes.get(id) else { return };
         let unrun = envelope.may_have_run.is_none() && envelope.out.is_empty();
-        let harmless = match self.effect(envelope) {
+        let receipt = envelope.may_have_run.is_some() && now < self.receipt_until(envelope);
+        let repeatable = match self.effect(envelope) {
             Effect::Pure => true,
-            Effect::Receipted { window, group } => {
-                let first = envelope.may_have_run.map(|m| m.0);
-                unrun || group == Group::All && first.is_some_and(|f| now < f + window)
-            }
-            Effect::Effectful => unrun,
+            Effect::Receipted { group, .. } => receipt && group == Group::All,
+            Effect::Effectful => false,
         };
-        if harmless && now < envelope.outer_limit {
+        if (unrun || repeatable) && now < envelope.outer_limit {
             host.shed(id, self.come_back(envelope.destination, now));
         } else {
             host.break_off(id);
@@ -876,8 +887,8 @@
         Some(opens.saturating_sub(now).max(self.card.recovery_delay).min(most))
     }
 
-    /// Forgets an envelope that has its final answer, and calls off what is still out for it.
-    fn end(&mut self, id: &EnvelopeId, host: &mut dyn Host) {
+    /// Forgets an envelope that has its final answer or was withdrawn, and calls off what is still out for it.
+    pub fn end(&mut self, id: &EnvelopeId, host: &mut dyn Host) {
         for no in self.forget(id) {
             host.call_off(id, no);
         }
@@ -893,11 +904,7 @@
             let opens = self.circuits_of(*destination).map(|c| c.wait_until).min().unwrap_or_default();
             for id in &self.destinations[destination].held {
                 let Some(e) = self.envelopes.get(id) else { continue };
-                let mut end = e.outer_limit.saturating_sub(answer);
-                if let (Some((first, _)), Effect::Receipted { window, .. }) = (e.may_have_run, self.effect(e))
-                {
-                    end = end.min(first + window);
-                }
+                let end = e.outer_limit.saturating_sub(answer).min(self.receipt_until(e));
                 if now >= end || opens >= end {
                     hopeless.push(id.clone());
                 } else {
@@ -1096,11 +1103,7 @@
         let of_limits = self.targets.get(&target).filter(|_| self.card.answers_report);
         let Some(route) = of_limits.map(|t| self.route_of(target, t)) else { return };
         let limit = Some(report.limit).filter(|l| *l > 0.0);
-        for id in self.members(route) {
-            if let Some(t) = self.targets.get_mut(&id) {
-                t.limit = limit;
-            }
-        }
+        self.change(&self.members(route), |t| t.limit = limit);
         self.circuits.entry(route).or_default().left = limit.map(|_| report.left);
     }
 
@@ -1117,11 +1120,6 @@
         }
     }
 
-    /// The client has withdrawn the envelope; nothing more is owed.
-    pub fn withdrawn(&mut self, id: &EnvelopeId, host: &mut dyn Host) {
-        self.end(id, host);
-    }
-
     /// A wake that was asked for has come.
     pub fn alarm(&mut self, now: Duration) {
         // Symptom: an envelope outlives its limit, as a host's timer rounds down and wakes a hair early.
--- a/src/host.rs
+++ b/src/host.rs
@@ -169,9 +169,19 @@
     pub zone_fees: Vec<(String, f64)>,
 }
 
+/// How long a dispatch may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Spans {
+    /// Its first byte leaves within this span or never; then it ends as one that did not. What was decided may not
+    /// hold for longer: a receipt runs out, the program stops.
+    pub begin_within: Duration,
+    /// Its answer is waited for no longer.
+    pub time_out: Duration,
+}
+
 /// What the module asks of the program that hosts it. All of it takes effect at the time of the call.
 pub trait Host {
-    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, time_out: Duration);
+    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, spans: Spans);
     fn call_off(&mut self, envelope: &EnvelopeId, dispatch: DispatchNo);
     /// Final answer: handed back, and handing it in again is harmless.
     fn shed(&mut self, envelope: &EnvelopeId, come_back: Option<Duration>);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,8 +17,8 @@
 //! }
 //!
 //! impl Host for Printer {
-//!     fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, time_out: Duration) {
-//!         println!("send {envelope:?} to {target:?}, wait {time_out:?} for the answer");
+//!     fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, spans: Spans) {
+//!         println!("send {envelope:?} to {target:?}, {spans:?}");
 //!         self.sent.push(envelope.clone());
 //!     }
 //!     fn call_off(&mut self, _: &EnvelopeId, _: DispatchNo) {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -46,6 +46,8 @@
     pub(crate) slots: usize,
     pub(crate) room: usize,
     pub(crate) dispatch_cap: u32,
+    /// An envelope may have two dispatches out.
+    pub(crate) copies: bool,
     /// The longest outer limit.
     pub(crate) longest: Duration,
     pub(crate) come_back: Option<Duration>,
@@ -370,6 +372,15 @@
         }
     }
 
+    /// The same change to each of these targets.
+    pub(crate) fn change(&mut self, targets: &[TargetId], mut change: impl FnMut(&mut Target)) {
+        for id in targets {
+            if let Some(target) = self.targets.get_mut(id) {
+                change(target);
+            }
+        }
+    }
+
     /// Books a dispatch of a held envelope, which is held no more.
     pub(crate) fn begin(&mut self, id: &EnvelopeId, dispatch: Dispatch) -> DispatchNo {
         let mut no = DispatchNo(0);
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -1,5 +1,6 @@
 //! The one fake host of the stories: it writes down what the module asks for and ends dispatches as told.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,11 +19,14 @@
 pub struct Notebook {
     pub asked: Vec<Asked>,
     pub wakes: Vec<Duration>,
+    /// How long the last dispatch of each envelope may take to begin.
+    pub begins: BTreeMap<String, Duration>,
 }
 
 impl Host for Notebook {
-    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, time_out: Duration) {
-        self.asked.push(Asked::Sent(envelope.0.to_string(), target.0, time_out));
+    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, spans: Spans) {
+        self.asked.push(Asked::Sent(envelope.0.to_string(), target.0, spans.time_out));
+        self.begins.insert(envelope.0.to_string(), spans.begin_within);
     }
     fn call_off(&mut self, envelope: &EnvelopeId, dispatch: DispatchNo) {
         self.asked.push(Asked::CalledOff(envelope.0.to_string(), dispatch.0));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -208,7 +208,7 @@
     }
     assert_eq!(story.sent_after(ms(0)), ["a"]);
     story.ends("a", 0, Outcome::TimedOut);
-    story.forwarder.withdrawn(&id("a"), &mut story.host);
+    story.forwarder.end(&id("a"), &mut story.host);
     assert!(story.sent_after(ms(2990)).is_empty());
     assert_eq!(story.sent_after(ms(20)), ["b"]);
 }
@@ -596,7 +596,7 @@
     assert!(story.sent_after(ms(5000)).is_empty(), "its target has gone to another destination");
     story.list(false, &[(1, 9, "shared")], Standing::Active);
     assert_eq!(story.sent_after(ms(1000)), ["a"], "and has come back");
-    story.forwarder.withdrawn(&id("never seen"), &mut story.host);
+    story.forwarder.end(&id("never seen"), &mut story.host);
     story.ends("never seen", 3, Outcome::Completed);
     let asked = story.after(ms(100_000_000));
     assert_eq!(asked, [Asked::BrokenOff("nowhere".into())], "the clock jumped over its limit");
