A call of the module is a call on the wire: no envelope goes again while its old call is out

To blame: Owner::start put whatever went to one target in one turn into one line and cut that anew, so that a call on the wire held parts of two calls of the module, which end at different times.

Now Spans says which call a dispatch travels in (CallNo), and start keeps them apart. The story with two calls of one turn fails without it. With it two stories of the module: until when a dispatch may begin, and equal waits where no second copy is allowed.

--- a/crates/emulator/src/policies/desk.rs
+++ b/crates/emulator/src/policies/desk.rs
@@ -9,8 +9,8 @@
 
 use rand::SeedableRng;
 use reeddock::{
-    DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, Outcome, Past, PeerId, Spans, Standing,
-    TargetId, Terms,
+    CallNo, DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, Outcome, Past, PeerId, Spans,
+    Standing, TargetId, Terms,
 };
 
 use crate::figure::Chance;
@@ -402,7 +402,7 @@
             envelope.sent.push((target, now, call));
             let id = envelope.id.clone();
             self.waiting.retain(|n| *n != number);
-            host.dispatch(&id, target, Spans { begin_within: time_out, time_out });
+            host.dispatch(&id, target, Spans { call: CallNo(call), begin_within: time_out, time_out });
         }
         if let Some(at) = self.next_wake(now).filter(|at| self.wake_at.is_none_or(|w| *at < w || w <= now)) {
             self.wake_at = Some(at);
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use reeddock::{
-    DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, LimitReport, Listing, Outcome, Past,
-    PeerId, Spans, Standing, TargetId,
+    CallNo, DestinationId, DispatchNo, EnvelopeId, Forwarder, Host, KeyId, LimitReport, Listing, Outcome,
+    Past, PeerId, Spans, Standing, TargetId,
 };
 use reeddock_ledger::{Ledger, Record, Taken, Unended};
 use reeddock_protocol::{bundles, Answer, Ending, GivenUp, HandIn, Letter, ListPart, Notice};
@@ -499,16 +499,14 @@
         }
     }
 
-    /// Sends calls out. What goes to one target in one turn travels together, as far as its kind allows.
+    /// Sends calls out. What the module sends together travels together, as far as its kind allows, and with
+    /// nothing else: of two calls in one, the second would still be out when the first has its end.
     fn start(&mut self, begun: Vec<Departing>) {
-        let mut by_target: Vec<(TargetId, Vec<Departing>)> = Vec::new();
+        let mut calls: BTreeMap<(CallNo, TargetId), Vec<Departing>> = BTreeMap::new();
         for departing in begun {
-            match by_target.iter_mut().find(|(target, _)| *target == departing.target) {
-                Some((_, line)) => line.push(departing),
-                None => by_target.push((departing.target, vec![departing])),
-            }
+            calls.entry((departing.spans.call, departing.target)).or_default().push(departing);
         }
-        for (target, mut line) in by_target {
+        for ((_, target), mut line) in calls {
             let Some(place) = self.state.places.get(&target) else { continue };
             let (to, batch) = (place.address, place.batch);
             // One time is told for a call, and a target may take it for its first envelope's: an answer that
--- a/crates/forwarder/tests/loopback/crossings.rs
+++ b/crates/forwarder/tests/loopback/crossings.rs
@@ -1,11 +1,16 @@
 //! What is still owed at the instant in which something ends. Each story forces its crossing.
 
+use std::collections::BTreeSet;
+use std::mem::MaybeUninit;
+
 use reeddock::TargetId;
 use reeddock_forwarder::calls::{see_through, Courier};
 use reeddock_forwarder::connections::Connections;
 use reeddock_forwarder::owner::Event;
 use reeddock_protocol::Ending;
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -117,3 +122,42 @@
         life.kill();
     });
 }
+
+#[test]
+fn two_calls_of_one_turn_do_not_travel_as_one_whose_first_half_could_go_again_while_the_other_is_out() {
+    story(async {
+        let mut world = World::new(|_| Reply::Close).await;
+        world.copies = false;
+        let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = silent.local_addr().unwrap();
+        let mut life = world.forwarder_knowing(list(1, true, &[listed("t", at, 3, "Terminating")])).await;
+        // Held until the target may be called: four notes fill one call, and orders are waited for longer.
+        for id in ["n1", "n2", "n3", "n4"] {
+            assert_eq!(hand_in(&life, id, "note").await, 202);
+        }
+        for id in ["o1", "o2"] {
+            assert_eq!(hand_in(&life, id, "order").await, 202);
+        }
+        world.tell(list(2, false, &[listed("t", at, 3, "Ready")]));
+        let (mut calls, mut again) = (Vec::new(), BTreeSet::new());
+        while again.len() < 4 {
+            let (mut stream, _) = silent.accept().await.unwrap();
+            let Some(call) = read_message(&mut stream).await else { continue };
+            let one = call.headers.get("x-call-id").cloned();
+            let lines = call.body.lines().filter(|line| line.ends_with(" - 10"));
+            let ids: BTreeSet<String> = one.into_iter().chain(lines.map(|l| l[..2].into())).collect();
+            for (earlier, old) in &calls {
+                if ids.intersection(earlier).next().is_some() {
+                    let ended = SockRef::from(old).peek(&mut [MaybeUninit::uninit()]);
+                    assert!(
+                        !ended.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock),
+                        "{ids:?} {earlier:?}"
+                    );
+                    again.extend(ids.intersection(earlier).cloned());
+                }
+            }
+            calls.push((ids, stream));
+        }
+        life.kill();
+    });
+}
--- a/crates/forwarder/tests/loopback/stand_ins.rs
+++ b/crates/forwarder/tests/loopback/stand_ins.rs
@@ -187,6 +187,8 @@
     pub tick: Duration,
     /// Lists are asked for, and answers tell of limits.
     pub asking: bool,
+    /// An envelope may have two dispatches out.
+    pub copies: bool,
 }
 
 impl Drop for World {
@@ -224,6 +226,7 @@
             closed_after: ms(5000),
             tick: ms(5),
             asking: false,
+            copies: true,
         }
     }
 
@@ -274,7 +277,7 @@
             slots: Some(8),
             room: Some(50),
             dispatch_cap: Some(6),
-            may_duplicate: true,
+            may_duplicate: self.copies,
             come_back: Some(ms(3000)),
             weights: if self.asking { Weights::Rates } else { Weights::RoughRates },
             answers_report: self.asking,
--- a/src/control.rs
+++ b/src/control.rs
@@ -786,7 +786,7 @@
         host: &mut dyn Host,
     ) {
         self.counter += 1;
-        let call = self.counter;
+        let call = CallNo(self.counter);
         self.calls.insert(call, going.len() as u32);
         let recovery_delay = self.recovery_delay(&self.targets[&target], now);
         let push = 1.0 + PUSH_PER_EXTRA * (going.len() - 1) as f64;
@@ -798,7 +798,7 @@
             let left = envelope.outer_limit.saturating_sub(now);
             let time_out = self.time_out(envelope, route, trial).max(together).min(left);
             let begin_within = self.begin_by(envelope, route).saturating_sub(now).min(time_out);
-            let spans = Spans { begin_within, time_out };
+            let spans = Spans { call, begin_within, time_out };
             let further = envelope.dispatches > 0;
             let (category, then) = (envelope.category, after_dispatch(id.clone(), target, now));
             let no = self
--- a/src/host.rs
+++ b/src/host.rs
@@ -25,6 +25,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct DispatchNo(pub u32);
 
+/// Dispatches of several envelopes that travel together, in the order in which they were asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallNo(pub u64);
+
 /// Which targets of a destination know a receipted envelope again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
@@ -169,9 +173,11 @@
     pub zone_fees: Vec<(String, f64)>,
 }
 
-/// How long a dispatch may take.
+/// What a dispatch travels in, and how long it may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Spans {
+    /// No dispatch of another call travels with it, as that one may end at another time.
+    pub call: CallNo,
     /// Its first byte leaves within this span or never; then it ends as one that did not. What was decided may not
     /// hold for longer: a receipt runs out, the program stops.
     pub begin_within: Duration,
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,7 +8,8 @@
 use rand_pcg::Pcg32;
 
 use crate::host::{
-    DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, Listing, Outcome, PeerId, Standing, TargetId,
+    CallNo, DestinationId, DispatchNo, Effect, EnvelopeId, Host, KeyId, Listing, Outcome, PeerId, Standing,
+    TargetId,
 };
 
 /// What comes next for an envelope once its dispatch has ended; the end is handed to it.
@@ -77,7 +78,7 @@
     pub target: TargetId,
     pub route: Route,
     pub category: usize,
-    pub call: u64,
+    pub call: CallNo,
     pub sent: Duration,
     /// Called off by this forwarder, as overdue.
     pub called_off: bool,
@@ -221,7 +222,7 @@
     pub envelopes: BTreeMap<EnvelopeId, Envelope>,
     pub dispatches: BTreeMap<(EnvelopeId, DispatchNo), Dispatch>,
     /// Calls out, with the dispatches in each that have no outcome yet.
-    pub calls: BTreeMap<u64, u32>,
+    pub calls: BTreeMap<CallNo, u32>,
     pub targets: BTreeMap<TargetId, Target>,
     pub destinations: BTreeMap<DestinationId, Destination>,
     /// Destinations that envelopes are held for; the others cost a turn nothing.
@@ -389,7 +390,7 @@
             envelope.dispatches += 1;
             envelope.out.insert(no);
             let destination = envelope.destination;
-            self.destinations.entry(destination).or_default().last_turn = dispatch.call;
+            self.destinations.entry(destination).or_default().last_turn = dispatch.call.0;
             self.unhold(destination, id);
         }
         self.dispatches.insert((id.clone(), no), dispatch);
@@ -477,7 +478,7 @@
     /// Calls to a route that are out and were sent no earlier.
     pub(crate) fn calls_since(&self, route: Route, since: Duration) -> usize {
         let out = self.dispatches.values().filter(|d| d.route == route && d.sent >= since);
-        out.map(|d| d.call).collect::<BTreeSet<u64>>().len()
+        out.map(|d| d.call).collect::<BTreeSet<CallNo>>().len()
     }
 
     /// The targets that share a route's fate.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -19,14 +19,14 @@
 pub struct Notebook {
     pub asked: Vec<Asked>,
     pub wakes: Vec<Duration>,
-    /// How long the last dispatch of each envelope may take to begin.
-    pub begins: BTreeMap<String, Duration>,
+    /// What the last dispatch of each envelope was sent with.
+    pub spans: BTreeMap<String, Spans>,
 }
 
 impl Host for Notebook {
     fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, spans: Spans) {
         self.asked.push(Asked::Sent(envelope.0.to_string(), target.0, spans.time_out));
-        self.begins.insert(envelope.0.to_string(), spans.begin_within);
+        self.spans.insert(envelope.0.to_string(), spans);
     }
     fn call_off(&mut self, envelope: &EnvelopeId, dispatch: DispatchNo) {
         self.asked.push(Asked::CalledOff(envelope.0.to_string(), dispatch.0));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -675,6 +675,47 @@
     assert_eq!(story.sent_after(ms(0)), ["note"], "the other is kept for the next start");
 }
 
+#[test]
+fn a_dispatch_says_until_when_its_receipt_and_the_program_let_it_begin() {
+    let mut story = Story::with(&[(1, 9, "shared"), (2, 8, "shared")]);
+    for name in ["mark", "note", "order"] {
+        story.hand_in(name, name, 9);
+    }
+    assert_eq!(story.sent_after(ms(0)).len(), 3);
+    for name in ["mark", "note", "order"] {
+        let spans = story.host.spans[name];
+        assert_eq!(spans.begin_within, spans.time_out, "nothing ends before its answer does: {name}");
+    }
+    story.now += ms(4000);
+    for name in ["note", "order"] {
+        story.ends(name, 0, Outcome::Completed);
+    }
+    story.ends("mark", 0, Outcome::TimedOut);
+    assert_eq!(story.sent_after(ms(0)), ["mark"]);
+    assert_eq!(story.host.spans["mark"].begin_within, ms(1000), "of the window of 5 s, 4 s have passed");
+    story.forwarder.leaving(story.now + ms(1500));
+    story.hand_in("late", "note", 8);
+    assert_eq!(story.sent_after(ms(100)), ["late"]);
+    assert_eq!(story.host.spans["late"].begin_within, ms(1400));
+}
+
+#[test]
+fn where_no_second_copy_is_allowed_all_of_a_call_are_waited_for_equally_long() {
+    for may_duplicate in [false, true] {
+        let mut story = Story::new(Terms { may_duplicate, ..terms() });
+        story.list(true, &[(1, 9, "batch")], Standing::Active);
+        for (name, category) in [("a", "note"), ("b", "order"), ("c", "note"), ("d", "note"), ("e", "order")]
+        {
+            story.hand_in(name, category, 9);
+        }
+        assert_eq!(story.sent_after(ms(0)).len(), 5);
+        let spans = &story.host.spans;
+        assert_eq!(spans["a"].time_out == spans["b"].time_out, !may_duplicate);
+        let calls = ["a", "b", "c", "d", "e"].map(|name| spans[name].call);
+        assert!(calls[..4].iter().all(|call| *call == calls[0]) && calls[4] != calls[0], "{calls:?}");
+    }
+}
+
 #[test]
 fn what_comes_back_unsent_does_not_use_up_its_dispatches_at_once() {
     let mut story = Story::with(ONE);
