An idempotency key goes with its envelope to the target, and outlasts a restart

Ruled out: budget, body and id, which left as they came.

To blame: HandIn::decode read no such header, and frame() in call.rs wrote '-' for every envelope, on the ground that the id is the mark by which a repeat is known. It is not, where a client gives one of its own.

Now the key is read (128 printable characters at most, else 400), written to the ledger with its envelope and passed on, as a header or in its line of a bundle. The ledger's records get the key as a new kind behind the old ones (version 2); segments of version 1 are read and nothing is written behind them, so that the program of before takes nothing for damage. Stories: keys in calls before and after a restart beside an envelope without; a segment of version 1; the random and the crash tests carry keys.

--- a/crates/daemon/tests/ledger.rs
+++ b/crates/daemon/tests/ledger.rs
@@ -19,6 +19,7 @@
 
 fn taken(id: &str, category: &str, destination: u64) -> Record {
     Record::Taken(Taken {
+        idempotency_key: None,
         id: id.into(),
         category: category.into(),
         tenant: None,
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -117,6 +117,7 @@
 /// An envelope that is owed its end.
 struct Owed {
     body: Bytes,
+    idempotency_key: Option<Arc<str>>,
     /// What it takes up.
     size: u64,
     dispatches: u32,
@@ -245,7 +246,7 @@
         if reply.is_closed() {
             return;
         }
-        let HandIn { id, category, tenant, key, destination, time_left, body } = hand_in;
+        let HandIn { id, category, tenant, key, destination, time_left, idempotency_key, body } = hand_in;
         let state = &mut self.state;
         let turned_away = if state.owed.contains_key(&id) {
             // Whoever sent it: this envelope is in the ledger.
@@ -270,6 +271,7 @@
             destination: destination.0,
             outer_limit: self.clock.stored(outer_limit),
             body,
+            idempotency_key,
         };
         let pending: u64 = state.fresh.iter().map(|f| Ledger::size_of(&f.taken)).sum();
         let bodies = state.bodies + pending + Ledger::size_of(&taken);
@@ -379,8 +381,8 @@
         let ids: Vec<EnvelopeId> = self.ledger.books().unended().iter().map(|u| u.id.clone()).collect();
         for id in ids {
             let Some(unended) = self.ledger.books().get(&id).cloned() else { continue };
-            let body = match self.ledger.body(&unended) {
-                Ok(body) => body,
+            let Taken { body, idempotency_key, .. } = match self.ledger.taken(&unended) {
+                Ok(taken) => taken,
                 Err(fault) => {
                     tracing::error!(%fault, id = &*id.0, "an envelope that is owed can't be read, and is broken off");
                     self.state
@@ -412,7 +414,8 @@
             self.forwarder.hand_in(now, id.clone(), category, tenant, key, outer_limit, destination, desk);
             self.forwarder.recall(now, &id, &past, desk);
             self.state.bodies += size;
-            self.state.owed.insert(id, Owed { body, size, dispatches: past.len() as u32 });
+            let idempotency_key = idempotency_key.map(Arc::from);
+            self.state.owed.insert(id, Owed { body, idempotency_key, size, dispatches: past.len() as u32 });
         }
         let (owed, untold) = (self.state.owed.len(), self.ledger.books().untold().count());
         if owed + untold > 0 {
@@ -451,7 +454,7 @@
             }
         }
         let places = &self.state.places;
-        let goes = |b: &Departing| written && !gone.contains(&b.id) && places.contains_key(&b.target);
+        let goes = |b: &Departing| written && !gone.contains(&b.letter.id) && places.contains_key(&b.target);
         let (begun, kept): (Vec<_>, Vec<_>) = begun.into_iter().partition(goes);
         self.start(begun);
         for dispatch in orders.called_off {
@@ -464,7 +467,7 @@
             self.state.wakes.insert(now + AFTER_A_FAULT);
         }
         for dispatch in kept {
-            self.ended(dispatch.id, dispatch.no, Ending::NotBegun, now);
+            self.ended(dispatch.letter.id, dispatch.no, Ending::NotBegun, now);
         }
         for id in gone {
             self.forwarder.end(&id, &mut self.state.desk);
@@ -483,7 +486,7 @@
         records.extend(state.records.iter().cloned());
         records.extend(begun.iter().map(|b| {
             let target = state.places.get(&b.target).map_or(String::new(), |p| p.name.to_string());
-            Record::Begun { id: b.id.0.to_string(), no: b.no.0, target, at }
+            Record::Begun { id: b.letter.id.0.to_string(), no: b.no.0, target, at }
         }));
         match self.ledger.append(&records, now) {
             Ok(written) => {
@@ -512,13 +515,12 @@
             // One time is told for a call, and a target may take it for its first envelope's: an answer that
             // comes after that is none, for the others too. So the one that is waited for longest leads.
             line.sort_by_key(|d| std::cmp::Reverse(d.spans.time_out));
-            let letter = |d: &Departing| Letter { id: d.id.clone(), body: d.body.clone() };
-            let mut rest: Vec<Letter> = line.iter().map(letter).collect();
+            let mut rest: Vec<Letter> = line.iter().map(|d| d.letter.clone()).collect();
             for count in bundles(&rest, batch) {
                 let letters: Vec<Letter> = rest.drain(..count).collect();
                 let now = Instant::now();
                 let (mut dispatched, mut until) = (Vec::new(), Vec::new());
-                for Departing { id, no, spans, .. } in line.drain(..count) {
+                for Departing { letter: Letter { id, .. }, no, spans, .. } in line.drain(..count) {
                     let (stop, called_off) = oneshot::channel();
                     self.state.out.insert((id.clone(), no), stop);
                     until.push(now + spans.time_out);
@@ -549,11 +551,10 @@
 
 /// A dispatch that has its number and is about to go.
 struct Departing {
-    id: EnvelopeId,
+    letter: Letter,
     no: DispatchNo,
     target: TargetId,
     spans: Spans,
-    body: Bytes,
 }
 
 impl State {
@@ -598,7 +599,9 @@
                 "taken on"
             );
             self.bodies += size;
-            self.owed.insert(id.clone(), Owed { body: taken.body.clone(), size, dispatches: 0 });
+            let (body, idempotency_key) =
+                (taken.body.clone(), taken.idempotency_key.as_deref().map(Arc::from));
+            self.owed.insert(id.clone(), Owed { body, idempotency_key, size, dispatches: 0 });
         }
         fresh
     }
@@ -608,10 +611,11 @@
         let mut departing = Vec::new();
         for (id, target, spans) in going {
             let Some(owed) = self.owed.get_mut(&id) else { continue };
-            let (no, body) = (DispatchNo(owed.dispatches), owed.body.clone());
+            let no = DispatchNo(owed.dispatches);
             owed.dispatches += 1;
             tracing::debug!(id = &*id.0, no = no.0, ?target, ?spans, "a dispatch begins");
-            departing.push(Departing { id, no, target, spans, body });
+            let (body, idempotency_key) = (owed.body.clone(), owed.idempotency_key.clone());
+            departing.push(Departing { letter: Letter { id, idempotency_key, body }, no, target, spans });
         }
         departing
     }
--- a/crates/forwarder/tests/loopback/stand_ins.rs
+++ b/crates/forwarder/tests/loopback/stand_ins.rs
@@ -351,7 +351,8 @@
 
 /// One call with these envelopes, each waited for so long.
 pub fn call(to: SocketAddr, envelopes: &[(&str, Duration)]) -> Call {
-    let letter = |id: &str| Letter { id: EnvelopeId(id.into()), body: Default::default() };
+    let letter =
+        |id: &str| Letter { id: EnvelopeId(id.into()), idempotency_key: None, body: Default::default() };
     let now = tokio::time::Instant::now();
     Call {
         target: TargetId(1),
--- a/crates/forwarder/tests/loopback/stories.rs
+++ b/crates/forwarder/tests/loopback/stories.rs
@@ -1,6 +1,6 @@
 //! Stories of one forwarder, against stand-ins for targets, the platform and clients.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 use std::time::Instant;
@@ -52,6 +52,7 @@
         for (request, expected) in [
             (good.replace("X-Call-Id: x", "X-Other: x"), 400),
             (good.replace("X-Call-Id: x", "X-Call-Id: two words"), 400),
+            (good.replace("X-Call-Id: x", "X-Call-Id: x\r\nIdempotency-Key: two words"), 400),
             (good.replace("X-Budget: 5", "X-Budget: soon"), 400),
             (good.replace("X-Budget: 5", "X-Budget: -5"), 400),
             (good.replace("X-Budget: 5", "X-Budget: inf"), 400),
@@ -546,6 +547,44 @@
     });
 }
 
+#[test]
+fn an_idempotency_key_goes_with_its_envelope_also_after_a_restart_and_beside_those_without() {
+    story(async {
+        let world = World::new(|m| match m.line.contains("/events/bundle") {
+            true => Reply::Close,
+            false => Reply::Say(OK.into()),
+        })
+        .await;
+        let mut life = world.forwarder_knowing(list(1, true, &[])).await;
+        let keyed = |id: &str| {
+            let key = format!("X-Call-Id: {id}\r\nIdempotency-Key: key-of-{id}");
+            envelope(id, "mark", 15.0, "body of it").replace(&format!("X-Call-Id: {id}"), &key)
+        };
+        for request in [keyed("m1"), keyed("m2"), envelope("n1", "note", 15.0, "body of it")] {
+            assert_eq!(status(&ask(life.address, request).await), 202);
+        }
+        life.kill();
+        let mut life = world.forwarder().await;
+        // What breaks in the bundle goes again, by and by alone.
+        world.settled().await;
+        let (bundles, singles): (Vec<_>, Vec<_>) =
+            world.target.got().into_iter().partition(|m| m.line.contains("/events/bundle"));
+        let lines = bundles.iter().flat_map(|m| m.body.lines()).filter(|line| line.ends_with(" 10"));
+        let lines: BTreeSet<&str> = lines.collect();
+        assert!(
+            lines.iter().all(|l| ["m1 key-of-m1 10", "m2 key-of-m2 10", "n1 - 10"].contains(l)),
+            "{lines:?}"
+        );
+        assert!(lines.len() + singles.len() >= 3, "{lines:?}");
+        for call in singles {
+            let key = call.headers.get("idempotency-key").map(String::as_str);
+            let expected = [("m1", Some("key-of-m1")), ("m2", Some("key-of-m2")), ("n1", None)];
+            assert!(expected.contains(&(call.id(), key)), "{call:?}");
+        }
+        life.kill();
+    });
+}
+
 #[test]
 fn a_call_that_is_not_answered_in_time_is_given_up_with_its_connection() {
     story(async {
--- a/crates/ledger/examples/appends.rs
+++ b/crates/ledger/examples/appends.rs
@@ -23,6 +23,7 @@
     let body = Bytes::from(vec![7; body as usize]);
     let taken = |n: u64| {
         Record::Taken(Taken {
+            idempotency_key: None,
             id: format!("{n:08x}-4c1e-4a2b-9d3f-{n:012x}"),
             category: "order".into(),
             tenant: None,
--- a/crates/ledger/src/books.rs
+++ b/crates/ledger/src/books.rs
@@ -116,7 +116,8 @@
         ids.map(length).sum()
     }
 
-    /// What matters of an envelope or a notice, as a record of its own; the body is added by whoever has it.
+    /// What matters of an envelope or a notice, as a record of its own; what stands in the files alone is added by whoever
+    /// reads them.
     pub(crate) fn carried(&self, id: &EnvelopeId) -> Option<Record> {
         if let Some(u) = self.unended.get(id) {
             let taken = Taken {
@@ -127,6 +128,7 @@
                 destination: u.destination,
                 outer_limit: u.outer_limit,
                 body: Default::default(),
+                idempotency_key: None,
             };
             let dispatches = u.dispatches.clone();
             return Some(Record::Carried(Carried { taken, place: u.place, dispatches, lost: u.lost }));
@@ -159,8 +161,9 @@
     }
 
     fn enter(&mut self, taken: &TakenView, dispatches: Vec<Begun>, lost: bool, place: u64, spot: Spot) {
-        let id = EnvelopeId(Arc::from(taken.id));
         let size = record::size(taken);
+        let taken = &taken.plain;
+        let id = EnvelopeId(Arc::from(taken.id));
         let entry = Unended {
             id: id.clone(),
             category: self.name(taken.category),
@@ -194,6 +197,8 @@
     pub(crate) fn apply(&mut self, record: View, spot: Spot) {
         let of = |id: &str| EnvelopeId(Arc::from(id));
         match record {
+            // Read as those of now.
+            View::OldTaken(_) | View::OldCarried(_) => {}
             View::Taken(taken) => {
                 self.places += 1;
                 self.enter(&taken, Vec::new(), false, self.places, spot);
--- a/crates/ledger/src/legacy.rs
+++ b/crates/ledger/src/legacy.rs
@@ -2,7 +2,7 @@
 //! once, at the first start of a program that writes segments.
 
 use crate::books::{Books, Spot};
-use crate::record::Record;
+use crate::record::{Taken, View};
 
 pub const NAME: &str = "ledger";
 const FRAME: usize = 8;
@@ -10,7 +10,7 @@
 const LONGEST: usize = 1 << 20;
 
 /// The record that begins here, and the length of its frame.
-fn whole(bytes: &[u8]) -> Option<(Record, usize)> {
+fn whole(bytes: &[u8]) -> Option<(View<'_>, usize)> {
     let frame = bytes.get(..FRAME)?;
     let length = u32::from_le_bytes([frame[0], frame[1], frame[2], frame[3]]) as usize;
     let sum = u32::from_le_bytes([frame[4], frame[5], frame[6], frame[7]]);
@@ -21,7 +21,7 @@
     if crc32fast::hash(record) != sum {
         return None;
     }
-    Some((postcard::from_bytes(record).ok()?, FRAME + length))
+    Some((View::read(record)?, FRAME + length))
 }
 
 /// Reads all of it; places and lengths of what can't be read.
@@ -30,7 +30,7 @@
     let mut at = 0;
     while at < bytes.len() {
         if let Some((record, length)) = whole(&bytes[at..]) {
-            books.apply(record.view(), Spot { segment: 0, offset: at as u64, length });
+            books.apply(record, Spot { segment: 0, offset: at as u64, length });
             at += length;
             continue;
         }
@@ -45,7 +45,7 @@
     unread
 }
 
-/// The body of an envelope whose record stands here.
-pub fn record_at(bytes: &[u8], spot: Spot) -> Option<Record> {
-    whole(bytes.get(spot.offset as usize..)?).map(|(record, _)| record)
+/// The envelope whose record stands here.
+pub fn taken_at(bytes: &[u8], spot: Spot) -> Option<Taken> {
+    whole(bytes.get(spot.offset as usize..)?)?.0.taken()
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -27,12 +27,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 pub use books::{Books, Unended};
 pub use folder::{Disk, Folder};
-pub use record::{Begun, Record, Taken};
+pub use record::{Begun, Carried, Record, Taken};
 
 use books::Spot;
 use plan::{whole_blocks, Plan, Step};
@@ -197,6 +196,7 @@
     first: u64,
     old: Option<Vec<u8>>,
     has_manifest: bool,
+    last_is_older: bool,
 }
 
 fn read(folder: &dyn Folder) -> io::Result<Reading> {
@@ -211,6 +211,7 @@
         past: Vec::new(),
         first: 1,
         old: None,
+        last_is_older: false,
         has_manifest: manifest.is_some(),
     };
     // Nothing is read, let alone changed, where a part of it is of a later version.
@@ -281,7 +282,10 @@
             return Ok(());
         }
         Head::Short | Head::Damaged => harm(to, 0, HEAD as u64, String::new()),
-        Head::Sound | Head::Later(_) => {}
+        // Nothing is written behind an older version's records, so that its program does not take the new ones
+        // for damage.
+        Head::Sound(version) if is_last => to.last_is_older = version < VERSION,
+        Head::Sound(_) | Head::Later(_) => {}
     }
     loop {
         match scan.next()? {
@@ -373,7 +377,8 @@
             }
         }
         // Nothing is ever written behind what can't be read.
-        ledger.sealed |= ledger.plan.last().is_some_and(|last| ledger.damaged.contains(&last));
+        let damaged = ledger.plan.last().is_some_and(|last| ledger.damaged.contains(&last));
+        ledger.sealed |= reading.last_is_older || damaged;
         while ledger.reserve < ledger.plan.reserve() && ledger.keep_reserve() {}
         Ok(ledger)
     }
@@ -428,8 +433,8 @@
         for id in ids.iter().chain(&untold) {
             let Some(mut record) = old.carried(id) else { continue };
             if let (Record::Carried(carried), Some(unended)) = (&mut record, old.get(id)) {
-                if let Some(Record::Taken(taken)) = legacy::record_at(bytes, unended.spot()) {
-                    carried.taken.body = taken.body;
+                if let Some(taken) = legacy::taken_at(bytes, unended.spot()) {
+                    carried.taken = taken;
                 }
             }
             group.push(record);
@@ -463,22 +468,16 @@
         &self.findings
     }
 
-    /// The body of an envelope that is owed.
-    pub fn body(&self, unended: &Unended) -> io::Result<Bytes> {
-        let record = self.record_at(unended.spot())?;
-        match record {
-            Record::Taken(taken) | Record::Carried(record::Carried { taken, .. }) => Ok(taken.body),
-            _ => Err(io::Error::new(io::ErrorKind::InvalidData, "another record stands in its place")),
-        }
-    }
-
-    fn record_at(&self, spot: Spot) -> io::Result<Record> {
+    /// All that was written of an envelope that is owed, with its body.
+    pub fn taken(&self, unended: &Unended) -> io::Result<Taken> {
+        let spot = unended.spot();
         let name = segment::name(spot.segment);
         let bytes = self.folder.read_at(&name, spot.offset, spot.length)?;
         let rotten =
             || io::Error::new(io::ErrorKind::InvalidData, format!("{name} at {} is damaged", spot.offset));
-        let value = record::value(&bytes).ok_or_else(rotten)?;
-        postcard::from_bytes(value).map_err(|_| rotten())
+        let record = record::value(&bytes).and_then(record::View::read).ok_or_else(rotten)?;
+        let other = || io::Error::new(io::ErrorKind::InvalidData, "another record stands in its place");
+        record.taken().ok_or_else(other)
     }
 
     /// Bytes that are free for what is taken on from here on.
@@ -586,7 +585,7 @@
         let mut bytes = std::mem::take(&mut self.buffer);
         bytes.clear();
         bytes.resize(HEAD, 0);
-        records.iter().for_each(|r| record::frame(&mut bytes, r));
+        records.iter().for_each(|r| record::frame(&mut bytes, &r.view()));
         let length = (bytes.len() - HEAD) as u64;
         let result = self.append_bytes(&mut bytes, length);
         self.buffer = bytes;
@@ -728,7 +727,7 @@
         while let Some((offset, id)) = next.take() {
             let Some(mut record) = self.books.carried(&id) else { break };
             if let (Record::Carried(carried), Some(unended)) = (&mut record, self.books.get(&id)) {
-                carried.taken.body = self.body(unended)?;
+                carried.taken = self.taken(unended)?;
                 copied += unended.spot().length as u64;
             } else {
                 copied += record::FRAME as u64 + id.0.len() as u64;
@@ -759,7 +758,7 @@
     fn copy(&mut self, records: &[Record]) -> io::Result<()> {
         // Not by way of `make_room`, which comes here.
         let mut bytes = vec![0; HEAD];
-        records.iter().for_each(|r| record::frame(&mut bytes, r));
+        records.iter().for_each(|r| record::frame(&mut bytes, &r.view()));
         let length = (bytes.len() - HEAD) as u64;
         if !self.plan.fits(length + HEAD as u64) {
             return Err(io::ErrorKind::StorageFull.into());
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use reeddock_protocol::GivenUp;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, Serializer};
 
 /// What is written down of an envelope before its client hears that it was taken on.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Taken {
     pub id: String,
     pub category: String,
@@ -16,11 +16,12 @@
     pub destination: u64,
     /// Microseconds of Unix time.
     pub outer_limit: u64,
-    #[serde(with = "body")]
     pub body: Bytes,
+    /// The mark by which its destination knows a repeat, where its client gave one.
+    pub idempotency_key: Option<String>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
     Taken(Taken),
     /// Written before the first byte of a dispatch.
@@ -50,7 +51,7 @@
     Carried(Carried),
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Carried {
     pub taken: Taken,
     /// Its place among all that were taken on.
@@ -79,11 +80,13 @@
     (crc32fast::hash(value) == sum).then_some(value)
 }
 
-/// A record as it stands in a file, borrowed from what was read: a start reads millions of them.
-#[derive(Debug, Deserialize)]
+/// A record as it stands in a file, borrowed from what was read: a start reads millions of them. Its place in
+/// this list is its number there.
+#[derive(Debug, Serialize, Deserialize)]
 pub enum View<'a> {
+    /// The two of version 1, which are read and not written: none of their envelopes had an idempotency key.
     #[serde(borrow)]
-    Taken(TakenView<'a>),
+    OldTaken(PlainView<'a>),
     Begun {
         id: &'a str,
         no: u32,
@@ -102,39 +105,86 @@
     Told {
         id: &'a str,
     },
-    Carried(CarriedView<'a>),
+    OldCarried(CarriedView<PlainView<'a>>),
+    Taken(TakenView<'a>),
+    Carried(CarriedView<TakenView<'a>>),
 }
 
-#[derive(Debug, Deserialize)]
-pub struct TakenView<'a> {
+#[derive(Debug, Serialize, Deserialize)]
+pub struct PlainView<'a> {
     pub id: &'a str,
     pub category: &'a str,
     pub tenant: Option<&'a str>,
     pub key: Option<u64>,
     pub destination: u64,
     pub outer_limit: u64,
+    #[serde(serialize_with = "bytes")]
     pub body: &'a [u8],
 }
 
-#[derive(Debug, Deserialize)]
-pub struct CarriedView<'a> {
+#[derive(Debug, Serialize, Deserialize)]
+pub struct TakenView<'a> {
     #[serde(borrow)]
-    pub taken: TakenView<'a>,
+    pub plain: PlainView<'a>,
+    pub idempotency_key: Option<&'a str>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct CarriedView<T> {
+    pub taken: T,
     pub place: u64,
     pub dispatches: Vec<Begun>,
     pub lost: bool,
 }
 
+/// At once, and not byte by byte.
+fn bytes<S: Serializer>(body: &[u8], to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_bytes(body)
+}
+
+impl<'a> View<'a> {
+    /// What stands here, whichever version wrote it; none where it makes no sense.
+    pub fn read(bytes: &'a [u8]) -> Option<View<'a>> {
+        let without = |plain| TakenView { plain, idempotency_key: None };
+        Some(match postcard::from_bytes(bytes).ok()? {
+            View::OldTaken(plain) => View::Taken(without(plain)),
+            View::OldCarried(CarriedView { taken, place, dispatches, lost }) => {
+                View::Carried(CarriedView { taken: without(taken), place, dispatches, lost })
+            }
+            written_now => written_now,
+        })
+    }
+
+    /// The envelope that was taken on here.
+    pub fn taken(&self) -> Option<Taken> {
+        let (View::Taken(taken) | View::Carried(CarriedView { taken, .. })) = self else { return None };
+        let PlainView { id, category, tenant, key, destination, outer_limit, body } = taken.plain;
+        Some(Taken {
+            id: id.into(),
+            category: category.into(),
+            tenant: tenant.map(str::to_owned),
+            key,
+            destination,
+            outer_limit,
+            body: Bytes::copy_from_slice(body),
+            idempotency_key: taken.idempotency_key.map(str::to_owned),
+        })
+    }
+}
+
 impl Taken {
     pub(crate) fn view(&self) -> TakenView<'_> {
         TakenView {
-            id: &self.id,
-            category: &self.category,
-            tenant: self.tenant.as_deref(),
-            key: self.key,
-            destination: self.destination,
-            outer_limit: self.outer_limit,
-            body: &self.body,
+            plain: PlainView {
+                id: &self.id,
+                category: &self.category,
+                tenant: self.tenant.as_deref(),
+                key: self.key,
+                destination: self.destination,
+                outer_limit: self.outer_limit,
+                body: &self.body,
+            },
+            idempotency_key: self.idempotency_key.as_deref(),
         }
     }
 }
@@ -171,31 +221,6 @@
     }
 }
 
-mod body {
-    use bytes::Bytes;
-    use serde::{de, Deserializer, Serializer};
-
-    pub fn serialize<S: Serializer>(body: &Bytes, to: S) -> Result<S::Ok, S::Error> {
-        to.serialize_bytes(body)
-    }
-
-    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Bytes, D::Error> {
-        struct Slice;
-        impl de::Visitor<'_> for Slice {
-            type Value = Bytes;
-
-            fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-                f.write_str("bytes")
-            }
-
-            fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<Bytes, E> {
-                Ok(Bytes::copy_from_slice(bytes))
-            }
-        }
-        from.deserialize_bytes(Slice)
-    }
-}
-
 /// Bytes of a frame before its record: a marker by which the next one is found behind damage, the record's
 /// length and checksum, and a checksum of these, so that a damaged length is told from a torn record.
 pub const FRAME: usize = 14;
@@ -233,6 +258,9 @@
 /// What an envelope takes up until it is over: itself, and some dispatches with their ends.
 pub fn size(taken: &TakenView) -> u64 {
     const DISPATCHES: u64 = 512;
-    let text = taken.id.len() + taken.category.len() + taken.tenant.map_or(0, str::len);
-    (text + taken.body.len()) as u64 + DISPATCHES
+    let TakenView { plain, idempotency_key } = taken;
+    let text = plain.id.len()
+        + plain.category.len()
+        + [plain.tenant, *idempotency_key].map(|t| t.map_or(0, str::len)).iter().sum::<usize>();
+    (text + plain.body.len()) as u64 + DISPATCHES
 }
--- a/crates/ledger/src/segment.rs
+++ b/crates/ledger/src/segment.rs
@@ -5,7 +5,7 @@
 use crate::record::{self, View, FRAME};
 
 /// The format of segments and manifest that this program writes, and the newest that it reads.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 const MAGIC: &[u8; 8] = b"reeddock";
 /// Magic, version, number, checksum.
 pub const HEAD: usize = 8 + 2 + 8 + 4;
@@ -35,7 +35,8 @@
 /// What a segment's head says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Head {
-    Sound,
+    /// Of this version, or of one before.
+    Sound(u16),
     /// Written by a later program.
     Later(u16),
     Damaged,
@@ -54,7 +55,7 @@
         return Head::Later(version);
     }
     if bytes[10..18] == expected.to_le_bytes() {
-        Head::Sound
+        Head::Sound(version)
     } else {
         Head::Damaged
     }
@@ -130,7 +131,7 @@
 
     /// The record that was read last; none where it is whole and makes no sense.
     pub fn record(&self) -> Option<View<'_>> {
-        postcard::from_bytes(self.buffer.get(self.last.clone())?).ok()
+        View::read(self.buffer.get(self.last.clone())?)
     }
 
     pub fn next(&mut self) -> io::Result<Piece> {
--- a/crates/ledger/tests/ledger/damage.rs
+++ b/crates/ledger/tests/ledger/damage.rs
@@ -5,8 +5,9 @@
 
 use reeddock::EnvelopeId;
 use reeddock_ledger::memory::{Faults, Memory};
-use reeddock_ledger::{Folder, Ledger, Record, Sync};
+use reeddock_ledger::{Begun, Carried, Folder, Ledger, Record, Sync, Taken, Unended};
 use reeddock_protocol::GivenUp;
+use serde::Serialize;
 
 use crate::load::{begun, taken, Load, Model};
 
@@ -221,15 +222,117 @@
     }
 }
 
+/// Records as they stood in the single file and in segments of version 1, when no envelope had an idempotency key.
+#[derive(Serialize)]
+enum OldRecord {
+    Taken(OldTaken),
+    Begun { id: String, no: u32, target: String, at: u64 },
+    Returned { id: String, no: u32, never_ran: bool },
+    Ended { id: String, notice: Option<GivenUp> },
+    Told { id: String },
+    Carried { taken: OldTaken, place: u64, dispatches: Vec<Begun>, lost: bool },
+}
+
+#[derive(Serialize)]
+struct OldTaken {
+    id: String,
+    category: String,
+    tenant: Option<String>,
+    key: Option<u64>,
+    destination: u64,
+    outer_limit: u64,
+    body: Vec<u8>,
+}
+
+fn old(record: &Record) -> OldRecord {
+    let old_taken = |t: &Taken| OldTaken {
+        id: t.id.clone(),
+        category: t.category.clone(),
+        tenant: t.tenant.clone(),
+        key: t.key,
+        destination: t.destination,
+        outer_limit: t.outer_limit,
+        body: t.body.to_vec(),
+    };
+    match record.clone() {
+        Record::Taken(taken) => OldRecord::Taken(old_taken(&taken)),
+        Record::Begun { id, no, target, at } => OldRecord::Begun { id, no, target, at },
+        Record::Returned { id, no, never_ran } => OldRecord::Returned { id, no, never_ran },
+        Record::Ended { id, notice } => OldRecord::Ended { id, notice },
+        Record::Told { id } => OldRecord::Told { id },
+        Record::Carried(c) => OldRecord::Carried {
+            taken: old_taken(&c.taken),
+            place: c.place,
+            dispatches: c.dispatches,
+            lost: c.lost,
+        },
+    }
+}
+
 /// One frame of the single file of before.
 fn old_frame(record: &Record) -> Vec<u8> {
-    let value = postcard::to_allocvec(record).unwrap();
+    let value = postcard::to_allocvec(&old(record)).unwrap();
     let mut bytes = (value.len() as u32).to_le_bytes().to_vec();
     bytes.extend(crc32fast::hash(&value).to_le_bytes());
     bytes.extend(value);
     bytes
 }
 
+/// A frame of version 1.
+fn framed(value: &impl Serialize) -> Vec<u8> {
+    let value = postcard::to_allocvec(value).unwrap();
+    let mut bytes = vec![0xd7, 0x5e];
+    bytes.extend((value.len() as u32).to_le_bytes());
+    bytes.extend(crc32fast::hash(&value).to_le_bytes());
+    bytes.extend(crc32fast::hash(&bytes).to_le_bytes());
+    bytes.extend(value);
+    bytes
+}
+
+/// A segment of version 1.
+fn old_segment(number: u64, records: &[Record]) -> Vec<u8> {
+    let mut bytes = b"reeddock".to_vec();
+    bytes.extend(1u16.to_le_bytes());
+    bytes.extend(number.to_le_bytes());
+    bytes.extend(crc32fast::hash(&bytes).to_le_bytes());
+    bytes.extend(records.iter().flat_map(|record| framed(&old(record))));
+    bytes
+}
+
+#[test]
+fn segments_of_version_1_are_read_and_nothing_is_written_behind_them() {
+    let name = "ledger-000000000001";
+    let dispatches = vec![Begun { target: "t0".into(), at: 5, ended: Some(true) }];
+    let Record::Taken(copied) = taken("copied", 30) else { unreachable!() };
+    let records = vec![
+        taken("fresh", 30),
+        Record::Carried(Carried { taken: copied, place: 7, dispatches, lost: false }),
+        taken("over", 30),
+        Record::Ended { id: "over".into(), notice: Some(GivenUp::Shed(None)) },
+        begun("fresh", 0),
+    ];
+    let memory = Memory::default();
+    memory.put(name, &old_segment(1, &records));
+    memory.put("ledger.manifest", &framed(&(1u16, 1u64)));
+    let mut ledger = Ledger::open_in(Box::new(memory.clone()), MOST, Sync::Never).unwrap();
+    assert!(ledger.findings().is_sound());
+    let owed = |ledger: &Ledger| {
+        let unended = ledger.books().unended();
+        let one =
+            |u: &&Unended| (u.id.0.to_string(), u.dispatches.len(), ledger.taken(u).unwrap().idempotency_key);
+        unended.iter().map(one).collect::<Vec<_>>()
+    };
+    let before = [("fresh".into(), 1, None), ("copied".into(), 1, None)];
+    assert_eq!(owed(&ledger), before);
+    let old = memory.bytes(name);
+    ledger.append(&[taken("new", 30)], NOW).unwrap();
+    assert_eq!(memory.bytes(name), old, "the program of before still reads it");
+    assert_eq!(memory.bytes("ledger-000000000002")[8..10], 2u16.to_le_bytes());
+    let again = open(&memory);
+    let new = ("new".to_string(), 0, Some("key of new".to_string()));
+    assert_eq!(owed(&again), [before[0].clone(), before[1].clone(), new]);
+}
+
 fn old_file() -> (Vec<u8>, Model) {
     let mut model = Model::default();
     let mut bytes = Vec::new();
@@ -264,7 +367,7 @@
         assert_eq!(Model::of(ledger.books()), model, "dead after {at}");
         assert!(ledger.findings().is_sound(), "dead after {at}: {:?}", ledger.findings());
         let first = ledger.books().unended()[0].clone();
-        assert_eq!(ledger.body(&first).unwrap().len(), 30);
+        assert_eq!(ledger.taken(&first).unwrap().body.len(), 30);
         assert!(!left.files().unwrap().contains_key("ledger"), "dead after {at}");
     }
 }
@@ -293,7 +396,7 @@
     memory.put(name, &bytes);
     let operations = memory.operations();
     let refused = Ledger::open_in(Box::new(memory.clone()), MOST, Sync::Never).err().unwrap().to_string();
-    assert_eq!(refused, format!("{name} is of version 9, and this program knows 1 at most"));
+    assert_eq!(refused, format!("{name} is of version 9, and this program knows 2 at most"));
     assert_eq!(memory.operations(), operations);
 }
 
--- a/crates/ledger/tests/ledger/load.rs
+++ b/crates/ledger/tests/ledger/load.rs
@@ -68,6 +68,7 @@
 
 pub fn taken(id: &str, body: usize) -> Record {
     Record::Taken(Taken {
+        idempotency_key: Some(format!("key of {id}")),
         id: id.into(),
         category: "order".into(),
         tenant: Some("t".into()),
--- a/crates/ledger/tests/ledger/random.rs
+++ b/crates/ledger/tests/ledger/random.rs
@@ -59,7 +59,9 @@
             prop_assert!(ledger.used() <= most, "{} of {}", ledger.used(), most);
             prop_assert!(memory.size() <= most);
             for unended in ledger.books().unended() {
-                prop_assert_eq!(ledger.body(unended).unwrap().len(), body);
+                let taken = ledger.taken(unended).unwrap();
+                prop_assert_eq!(taken.body.len(), body);
+                prop_assert_eq!(taken.idempotency_key, Some(format!("key of {}", unended.id.0)));
             }
         }
     }
--- a/crates/ledger/tests/ledger/stories.rs
+++ b/crates/ledger/tests/ledger/stories.rs
@@ -36,6 +36,7 @@
 
 fn taken(id: &str) -> Record {
     Record::Taken(Taken {
+        idempotency_key: None,
         id: id.into(),
         category: "order".into(),
         tenant: None,
@@ -72,7 +73,7 @@
     assert_eq!(ids(&ledger), ["b"]);
     let b = ledger.books().unended()[0].clone();
     assert_eq!((&*b.category, b.key, b.destination, b.outer_limit), ("order", Some(9), 3, 77));
-    assert_eq!(ledger.body(&b).unwrap(), Bytes::from_static(b"\x00 any bytes \xff"));
+    assert_eq!(ledger.taken(&b).unwrap().body, Bytes::from_static(b"\x00 any bytes \xff"));
     let past: Vec<_> = b.dispatches.iter().map(|d| (&*d.target, d.ended)).collect();
     assert_eq!(past, [("t0", Some(true)), ("t1", None)]);
     assert_eq!(ledger.books().untold().map(|n| n.id.0.to_string()).collect::<Vec<_>>(), ["c"]);
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -1,6 +1,7 @@
 //! One call to a target: what is sent, and what its answer says of each envelope.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
@@ -9,12 +10,13 @@
 use http_body_util::Full;
 use reeddock::{EnvelopeId, LimitReport};
 
-use crate::{header, span_in, Ending, Fault, MOST_BODY};
+use crate::{header, span_in, Ending, Fault, IDEMPOTENCY_KEY, MOST_BODY};
 
 /// One envelope within a call.
 #[derive(Clone, Debug)]
 pub struct Letter {
     pub id: EnvelopeId,
+    pub idempotency_key: Option<Arc<str>>,
     pub body: Bytes,
 }
 
@@ -24,7 +26,10 @@
 
 /// A call with a single envelope; `wait` is how long the answer is waited for.
 pub fn one(to: SocketAddr, letter: &Letter, wait: Duration) -> Result<Request<Full<Bytes>>, Fault> {
-    let call = post(to, "/events", wait).header("x-call-id", &*letter.id.0);
+    let mut call = post(to, "/events", wait).header("x-call-id", &*letter.id.0);
+    if let Some(key) = &letter.idempotency_key {
+        call = call.header(IDEMPOTENCY_KEY, &**key);
+    }
     call.body(Full::new(letter.body.clone())).map_err(|e| e.to_string())
 }
 
@@ -49,8 +54,8 @@
 const FRAME_END: &[u8] = b"\r\n";
 
 fn frame(letter: &Letter) -> String {
-    // No key stands here: the id is the mark by which a repeat is known.
-    format!("{} - {}\r\n", letter.id.0, letter.body.len())
+    let key = letter.idempotency_key.as_deref().unwrap_or("-");
+    format!("{} {key} {}\r\n", letter.id.0, letter.body.len())
 }
 
 /// A call with several.
--- a/crates/protocol/src/hand_in.rs
+++ b/crates/protocol/src/hand_in.rs
@@ -9,7 +9,7 @@
 use http_body_util::Full;
 use reeddock::{DestinationId, EnvelopeId, KeyId};
 
-use crate::{header, span_in, Fault};
+use crate::{header, span_in, Fault, IDEMPOTENCY_KEY};
 
 /// Bytes in a body at most.
 pub const MOST_BODY: usize = 64 * 1024;
@@ -24,6 +24,8 @@
     pub destination: DestinationId,
     /// How long it may still be delivered.
     pub time_left: Duration,
+    /// Passes on unchanged: by it the destination knows a repeat.
+    pub idempotency_key: Option<String>,
     pub body: Bytes,
 }
 
@@ -32,11 +34,16 @@
         let named = |name: &str| {
             header(&parts.headers, name).filter(|v| !v.is_empty()).ok_or_else(|| format!("{name} is missing"))
         };
+        // Both stand in lines of a bundle, and the id in notices, where these would break it.
+        let word =
+            |name: &str, text: &str| match text.len() > 128 || text.bytes().any(|b| !b.is_ascii_graphic()) {
+                true => Err(format!("{name} is malformed")),
+                false => Ok(()),
+            };
         let id = named("x-call-id")?;
-        // It stands in lines of a bundle and of notices, where these would break it.
-        if id.len() > 128 || id.bytes().any(|b| !b.is_ascii_graphic()) {
-            return Err("x-call-id is malformed".into());
-        }
+        word("x-call-id", id)?;
+        let idempotency_key = header(&parts.headers, IDEMPOTENCY_KEY).filter(|k| !k.is_empty());
+        idempotency_key.map_or(Ok(()), |key| word(IDEMPOTENCY_KEY, key))?;
         let route = named("x-route-to")?;
         let destination = route.split([',', ';']).find_map(|part| part.trim().strip_prefix("dest="));
         let destination = destination.and_then(|d| d.trim().parse().ok());
@@ -48,6 +55,7 @@
             tenant: header(&parts.headers, "x-caller").map(str::to_owned),
             key: key.transpose().map_err(|_| "x-route-hash is malformed")?.map(KeyId),
             destination: DestinationId(destination.ok_or("x-route-to names no destination")?),
+            idempotency_key: idempotency_key.map(str::to_owned),
             time_left: span_in(named("x-budget")?).ok_or("x-budget is malformed")?,
             // A copy: the original is a part of the connection's buffer, and would keep all of that.
             body: Bytes::copy_from_slice(&body),
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -19,6 +19,9 @@
 /// No span is read as longer: sums of times stay far from where they overflow.
 const LONGEST: f64 = 1e9;
 
+/// Where a receipted envelope carries the mark by which a repeat is known.
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
 /// Seconds with decimals, as spans travel in headers.
 fn span_in(text: &str) -> Option<std::time::Duration> {
     let seconds = text.trim().parse::<f64>().ok().filter(|s| s.is_finite())?;
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -46,7 +46,11 @@
 
 #[test]
 fn a_bundle_answer_that_leaves_one_out_or_may_be_cut_proves_nothing() {
-    let letters = ["a", "ab", "c"].map(|id| Letter { id: EnvelopeId(id.into()), body: Default::default() });
+    let letters = ["a", "ab", "c"].map(|id| Letter {
+        id: EnvelopeId(id.into()),
+        idempotency_key: None,
+        body: Default::default(),
+    });
     let told = |status, body, clean| endings_of_bundle(&head(status, None), body, clean, &letters);
     let whole = b"a deferred\r\nab accepted\r\nc no_more\r\n";
     let each = [Ending::TurnedAway(None), Ending::Completed, Ending::NoMoreDispatches];
@@ -61,7 +65,11 @@
 
 #[test]
 fn a_bundle_is_no_longer_than_a_body_may_be() {
-    let letter = |bytes: usize| Letter { id: EnvelopeId("a".into()), body: vec![0; bytes].into() };
+    let letter = |bytes: usize| Letter {
+        id: EnvelopeId("a".into()),
+        idempotency_key: None,
+        body: vec![0; bytes].into(),
+    };
     assert_eq!(bundles(&[1, 1, 1, 1, 1].map(letter), 2), [2, 2, 1]);
     assert_eq!(bundles(&[65_536, 10, 40_000, 30_000, 1].map(letter), 10), [1, 2, 2]);
     for line in [vec![32_000, 32_000], vec![33_000, 33_000]] {
