An answer in the instant in which the wait ends is no delivery

Ruled out: a late notice (none was due, as it counted as delivered), a restart.

To blame: see_through() asks first whether the call has ended and then whether the wait has, so that an answer that came in the same turn of the loop counted however late it was; and X-Budget was rounded to the nearest millisecond, so that the target's time could end before ours.

Now 'accepted' and 200 count only before the wait's end, while 'never ran' holds whenever it is told, and the wait is told rounded up. The story stands a service in the courier's place that answers when the first of its two envelopes has no time left; it fails without the check (Completed instead of TimedOut). See_through takes any service for that.

--- a/crates/forwarder/src/calls.rs
+++ b/crates/forwarder/src/calls.rs
@@ -225,15 +225,15 @@
 /// Carries a call to its end and tells the owner how each envelope fared. Once none is waited for any more,
 /// the connection is closed.
 pub async fn see_through(
-    courier: Courier,
+    courier: impl Service<Call, Response = Carried, Error = Infallible>,
     call: Call,
     dispatched: Vec<Dispatched>,
     owner: mpsc::Sender<Event>,
 ) {
-    let (target, boarding) = (call.target, call.boarding.clone());
+    let (target, boarding, until) = (call.target, call.boarding.clone(), call.until.clone());
     let mut waiting = Vec::new();
     let mut patience = FuturesUnordered::new();
-    for (place, (d, until)) in dispatched.into_iter().zip(call.until.clone()).enumerate() {
+    for (place, (d, until)) in dispatched.into_iter().zip(until.clone()).enumerate() {
         waiting.push(Some((d.envelope, d.no)));
         let (called_off, boarding) = (d.called_off, boarding.clone());
         let never_began = async move {
@@ -250,7 +250,7 @@
             }
         });
     }
-    let mut carried = Some(courier.oneshot(call));
+    let mut carried = Some(Box::pin(courier.oneshot(call)));
     while let Some(carrying) = carried.as_mut().filter(|_| waiting.iter().any(Option::is_some)) {
         let ended = tokio::select! {
             biased;
@@ -262,7 +262,15 @@
                     let _ = owner.send(Event::Wait { target, wait }).await;
                 }
                 carried = None;
-                endings
+                // The target was told until when: what it says after that is no delivery, though it may come in
+                // the instant in which the wait ends. That nothing has run holds all the same.
+                let now = Instant::now();
+                let late = |place: usize| until.get(place).is_some_and(|until| *until <= now);
+                let in_time = |(place, ending)| match ending {
+                    Ending::Completed if late(place) => (place, Ending::TimedOut),
+                    ending => (place, ending),
+                };
+                endings.into_iter().map(in_time).collect()
             }
             Some(given_up) = patience.next() => {
                 // What ends in the same instant is told together, so that nothing of it goes out anew while the
--- a/crates/forwarder/tests/loopback/crossings.rs
+++ b/crates/forwarder/tests/loopback/crossings.rs
@@ -4,7 +4,7 @@
 use std::mem::MaybeUninit;
 
 use reeddock::TargetId;
-use reeddock_forwarder::calls::{see_through, Courier};
+use reeddock_forwarder::calls::{see_through, Call, Carried, Courier};
 use reeddock_forwarder::connections::Connections;
 use reeddock_forwarder::owner::Event;
 use reeddock_protocol::Ending;
@@ -161,3 +161,26 @@
         life.kill();
     });
 }
+
+#[test]
+fn an_answer_in_the_instant_in_which_the_wait_ends_is_no_delivery() {
+    story(async {
+        let nowhere = "127.0.0.1:9".parse().unwrap();
+        for ending in [Ending::Completed, Ending::TurnedAway(None)] {
+            let (events, mut heard) = mpsc::channel(4);
+            let call = call(nowhere, &[("late", ms(20)), ("longer", ms(20_000))]);
+            let (dispatched, _stops) = dispatched(&call, ms(20_000));
+            // Nothing else has a turn until the first's time is up, and then the answer is there.
+            let answers_late = tower::service_fn(move |call: Call| async move {
+                while Instant::now() < call.until[0] {
+                    std::hint::spin_loop();
+                }
+                Ok(Carried { endings: vec![(0, ending), (1, ending)], wait: None, report: None })
+            });
+            tokio::spawn(see_through(answers_late, call, dispatched, events));
+            let late = if ending == Ending::Completed { Ending::TimedOut } else { ending };
+            assert_eq!(end(&mut heard).await, ("late".into(), late));
+            assert_eq!(end(&mut heard).await, ("longer".into(), ending));
+        }
+    });
+}
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -20,8 +20,11 @@
     pub body: Bytes,
 }
 
+/// The wait is told rounded up: an answer after the time that its target knows must also come after ours.
 fn post(to: SocketAddr, path: &str, wait: Duration) -> http::request::Builder {
-    Request::post(path).header(HOST, to.to_string()).header("x-budget", format!("{:.3}", wait.as_secs_f64()))
+    let millis = wait.as_micros().div_ceil(1000);
+    let budget = format!("{}.{:03}", millis / 1000, millis % 1000);
+    Request::post(path).header(HOST, to.to_string()).header("x-budget", budget)
 }
 
 /// A call with a single envelope; `wait` is how long the answer is waited for.
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -3,7 +3,9 @@
 use http::Response;
 use http_body::Body;
 use reeddock::{EnvelopeId, LimitReport, Outcome, Standing};
-use reeddock_protocol::{bundle, bundles, ending_of, endings_of_bundle, report_of, Ending, Letter, ListPart};
+use reeddock_protocol::{
+    bundle, bundles, ending_of, endings_of_bundle, one, report_of, Ending, Letter, ListPart,
+};
 use std::time::Duration;
 
 fn head(status: u16, header: Option<(&str, &str)>) -> http::response::Parts {
@@ -63,6 +65,18 @@
     assert!(!Ending::Spoilt.outcome().never_ran());
 }
 
+#[test]
+fn the_wait_is_told_rounded_up() {
+    let letter = Letter { id: EnvelopeId("a".into()), idempotency_key: None, body: Default::default() };
+    for (micros, told) in [(11_443_100, "11.444"), (1, "0.001"), (2_000_000, "2.000"), (0, "0.000")] {
+        let wait = Duration::from_micros(micros);
+        let to = "127.0.0.1:9".parse().unwrap();
+        for request in [one(to, &letter, wait), bundle(to, &[letter.clone(), letter.clone()], wait)] {
+            assert_eq!(request.unwrap().headers()["x-budget"], told);
+        }
+    }
+}
+
 #[test]
 fn a_bundle_is_no_longer_than_a_body_may_be() {
     let letter = |bytes: usize| Letter {
