Where a kind of target turns connections away, none stands idle in the way of others

Ruled out: limits (their refusals carry a report and leave the connection open), slots, room.

To blame: Connections::put kept every connection for seven eighths of the time that targets allow. With 300 forwarders and targets that hold 6 to 16 connections, idle ones counted, those that came first kept all places with connections used now and then, and the others were turned away for good.

Now a 503 that closes a new connection is remembered for its kind of target for 30 s (crowding.rs, without I/O); till then connections to that kind are closed after their call, idle ones at once, as who holds one is not turned away there but elsewhere. Other kinds keep theirs.

Three stories; the first fails without the change.

--- a/crates/forwarder/src/calls.rs
+++ b/crates/forwarder/src/calls.rs
@@ -163,6 +163,9 @@
         Err(ending) => return Ok(all(ending, None, None)),
     };
     let report = protocol::report_of(&head);
+    if connection.is_new() && protocol::turns_connection_away(&head) {
+        connections.turned_away(call.target);
+    }
     if alone && protocol::ending_of(&head) == Ending::Completed {
         // The head says all. The next call to this target, which may follow at once, finds the connection free
         // if the rest comes shortly.
--- a/crates/forwarder/src/connections.rs
+++ b/crates/forwarder/src/connections.rs
@@ -25,6 +25,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, Instant};
 
+use crate::crowding::Crowding;
+
 pub(crate) fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -255,6 +257,11 @@
         })
     }
 
+    /// Whether only one request was sent on it.
+    pub fn is_new(&self) -> bool {
+        self.requests == 1
+    }
+
     /// Whether nothing of the last request was written, on a connection that had served before: it had ended
     /// between two requests, and that says nothing of the other side.
     pub fn was_over(&self) -> bool {
@@ -352,6 +359,7 @@
     rests: Arc<Mutex<BTreeMap<TargetId, Instant>>>,
     /// Targets that the list calls leaving or gone.
     left: Arc<Mutex<BTreeSet<TargetId>>>,
+    crowding: Arc<Mutex<Crowding>>,
     seats: Arc<Semaphore>,
     connect_within: Duration,
     idle_for: Duration,
@@ -364,6 +372,7 @@
             uses: Arc::default(),
             rests: Arc::default(),
             left: Arc::default(),
+            crowding: Arc::default(),
             seats: Arc::new(Semaphore::new(most)),
             connect_within,
             // A request must arrive before the target closes, which counts from when it wrote its answer.
@@ -392,7 +401,8 @@
 
     /// Takes back a connection whose answer has been read.
     pub fn put(&self, target: TargetId, connection: Connection) {
-        if connection.sender.is_ready() {
+        let has_room = locked(&self.crowding).has_room(target, Instant::now());
+        if has_room && connection.sender.is_ready() {
             let idle = Idle { connection, since: Instant::now() };
             locked(&self.idle).entry(target).or_default().push_back(idle);
         }
@@ -407,7 +417,8 @@
     }
 
     /// What the list says of a target. The same calls must not go to one that leaves, however long they waited.
-    pub fn listed(&self, target: TargetId, active: bool) {
+    pub fn listed(&self, target: TargetId, kind: &str, active: bool) {
+        locked(&self.crowding).listed(target, kind);
         let mut left = locked(&self.left);
         if active {
             left.remove(&target);
@@ -416,9 +427,16 @@
         }
     }
 
+    /// A whole list does not name the target any more.
+    pub fn gone(&self, target: TargetId) {
+        locked(&self.left).insert(target);
+        self.close_idle(target);
+    }
+
     /// Forgets what the list said of targets that nothing is known of any more.
     pub fn forget(&self, known: impl Fn(&TargetId) -> bool) {
-        locked(&self.left).retain(known);
+        locked(&self.left).retain(&known);
+        locked(&self.crowding).forget(known);
     }
 
     /// Whether a call that has waited for its connection may still begin.
@@ -440,6 +458,14 @@
         locked(&self.uses).saw(connection.idle, broke);
     }
 
+    /// The target turned this connection away as it has too many: idle ones to its kind are closed for others.
+    pub fn turned_away(&self, target: TargetId) {
+        let now = Instant::now();
+        let mut crowding = locked(&self.crowding);
+        crowding.turned_away(target, now);
+        locked(&self.idle).retain(|target, _| crowding.has_room(*target, now));
+    }
+
     pub fn close_idle(&self, target: TargetId) {
         locked(&self.idle).remove(&target);
     }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`owner`] | owns the module and the ledger; one queue leads to it |
 //! | [`calls`] | one call to a target, to its end |
 //! | [`connections`] | connections, kept and counted |
+//! | [`crowding`] | which kinds of target have no room for idle connections |
 //! | [`discovery`] | the watch on the list of targets |
 //! | [`notices`] | tells the platform of what was not delivered |
 //! | [`limits`] | what the machine has room for |
@@ -16,6 +17,7 @@
 pub mod calls;
 pub mod clock;
 pub mod connections;
+pub mod crowding;
 pub mod discovery;
 pub mod intake;
 pub mod limits;
--- a/crates/forwarder/src/owner.rs
+++ b/crates/forwarder/src/owner.rs
@@ -339,7 +339,8 @@
                 zone: &entry.zone,
                 kind: &entry.kind,
             });
-            self.courier.connections.listed(target, entry.standing == Standing::Active);
+            let active = entry.standing == Standing::Active;
+            self.courier.connections.listed(target, &entry.kind, active);
             let batch = self.batches.get(&entry.kind).copied().unwrap_or(1);
             // One that is gone may still be spoken of, though its address is not told any more.
             let Some(address) = entry.address else { continue };
@@ -369,9 +370,7 @@
         let connections = &self.courier.connections;
         connections.forget(|id| known.contains_key(id));
         for (id, _) in known.iter().filter(|(_, t)| t.standing == Standing::Gone) {
-            // A whole list does not name it.
-            connections.listed(*id, false);
-            connections.close_idle(*id);
+            connections.gone(*id);
         }
     }
 
--- a/crates/forwarder/tests/loopback/crossings.rs
+++ b/crates/forwarder/tests/loopback/crossings.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeSet;
 use std::mem::MaybeUninit;
+use std::sync::atomic::Ordering;
 
 use reeddock::TargetId;
 use reeddock_forwarder::calls::{see_through, Call, Carried, Courier};
 use reeddock_forwarder::connections::Connections;
+use reeddock_forwarder::crowding::Crowding;
 use reeddock_forwarder::owner::Event;
 use reeddock_protocol::Ending;
 use socket2::SockRef;
@@ -13,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tower::Service;
 
 use crate::stand_ins::*;
 
@@ -94,7 +97,7 @@
             let courier = patient();
             tokio::spawn(see_through(courier.clone(), call, dispatched, events));
             match expected {
-                Ending::TargetLeaves => courier.connections.listed(TargetId(1), false),
+                Ending::TargetLeaves => courier.connections.listed(TargetId(1), "many", false),
                 _ => courier.connections.rest(TargetId(1), Instant::now() + ms(20_000)),
             }
             let mut stream = target.open().await;
@@ -184,3 +187,72 @@
         }
     });
 }
+
+const NO_PLACE: &str = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+#[test]
+fn where_a_kind_has_no_room_for_connections_none_stands_idle_in_the_way_of_others() {
+    story(async {
+        let open = StandIn::start(|_| Reply::Say(OK.into())).await;
+        let other = StandIn::start(|_| Reply::Say(OK.into())).await;
+        let full = StandIn::start(|_| Reply::SayAndClose(NO_PLACE.into())).await;
+        let mut courier = patient();
+        for (target, kind) in [(1, "small"), (2, "small"), (3, "large")] {
+            courier.connections.listed(TargetId(target), kind, true);
+        }
+        let mut ends = async |target: u32, at: &StandIn| {
+            let call = Call { target: TargetId(target), ..call_to(at, "a") };
+            courier.call(call).await.unwrap().endings[0].1
+        };
+        for _ in 0..2 {
+            assert_eq!((ends(1, &open).await, ends(3, &other).await), (Ending::Completed, Ending::Completed));
+        }
+        assert!(open.got().iter().all(|m| m.connection == 0), "kept while nothing is known");
+        // Leaves as it was turned away: a connection that stands idle at another of the kind is in the way there.
+        assert_eq!(ends(2, &full).await, Ending::TurnedAway(None));
+        until("its end", || (open.closed.load(Ordering::Relaxed) == 1).then_some(())).await;
+        for n in 1..3 {
+            assert_eq!(ends(1, &open).await, Ending::Completed);
+            until("its end", || (open.closed.load(Ordering::Relaxed) == n + 1).then_some(())).await;
+            assert_eq!(ends(3, &other).await, Ending::Completed);
+        }
+        assert!(other.got().iter().all(|m| m.connection == 0), "a kind with room");
+    });
+}
+
+#[test]
+fn a_target_that_turns_a_kept_connection_away_says_nothing_of_room() {
+    story(async {
+        let leaving = StandIn::start(|_| Reply::Say(OK.into())).await;
+        let open = StandIn::start(|_| Reply::Say(OK.into())).await;
+        let mut courier = patient();
+        for target in [1, 2] {
+            courier.connections.listed(TargetId(target), "small", true);
+        }
+        let to = |target: u32, at: &StandIn| Call { target: TargetId(target), ..call_to(at, "a") };
+        for (target, at) in [(1, &leaving), (2, &open)] {
+            assert_eq!(courier.call(to(target, at)).await.unwrap().endings[0].1, Ending::Completed);
+        }
+        leaving.now(|_| Reply::SayAndClose(NO_PLACE.into()));
+        assert_eq!(courier.call(to(1, &leaving)).await.unwrap().endings[0].1, Ending::TurnedAway(None));
+        assert_eq!(courier.call(to(2, &open)).await.unwrap().endings[0].1, Ending::Completed);
+        assert!(open.got().iter().all(|m| m.connection == 0));
+    });
+}
+
+#[test]
+fn a_kind_that_turned_connections_away_is_trusted_again_and_forgotten_with_its_targets() {
+    let now = Instant::now();
+    let mut crowding = Crowding::default();
+    for (target, kind) in [(1, "small"), (2, "small"), (3, "large")] {
+        crowding.listed(TargetId(target), kind);
+    }
+    crowding.turned_away(TargetId(9), now);
+    crowding.turned_away(TargetId(1), now);
+    let room = |c: &Crowding, after| [1, 2, 3, 9].map(|t| c.has_room(TargetId(t), now + ms(after)));
+    assert_eq!(room(&crowding, 29_000), [false, false, true, true]);
+    assert_eq!(room(&crowding, 30_000), [true; 4]);
+    crowding.forget(|target| *target == TargetId(3));
+    crowding.listed(TargetId(2), "small");
+    assert_eq!(room(&crowding, 0), [true; 4], "nothing is kept of a kind that nothing is listed for");
+}
--- a/crates/protocol/src/call.rs
+++ b/crates/protocol/src/call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
-use http::header::{HOST, RETRY_AFTER};
+use http::header::{CONNECTION, HOST, RETRY_AFTER};
 use http::{response, Request, StatusCode};
 use http_body_util::Full;
 use reeddock::{EnvelopeId, LimitReport};
@@ -88,6 +88,14 @@
     LimitReport::told(told("x0"), told("x1"))
 }
 
+/// Whether an answer to the first request of a connection says that its target has no room for the connection: it
+/// turns the request away and closes.
+pub fn turns_connection_away(answer: &response::Parts) -> bool {
+    let closes = header(&answer.headers, CONNECTION.as_str());
+    let closes = closes.is_some_and(|h| h.split(',').any(|token| token.trim().eq_ignore_ascii_case("close")));
+    answer.status == StatusCode::SERVICE_UNAVAILABLE && closes
+}
+
 /// What the head of an answer says of all envelopes of its call.
 pub fn ending_of(answer: &response::Parts) -> Ending {
     let wait = || wait_of(answer);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -7,7 +7,9 @@
 mod list;
 mod notice;
 
-pub use call::{bundle, bundles, ending_of, endings_of_bundle, one, report_of, wait_of, Letter};
+pub use call::{
+    bundle, bundles, ending_of, endings_of_bundle, one, report_of, turns_connection_away, wait_of, Letter,
+};
 pub use ending::Ending;
 pub use hand_in::{Answer, HandIn, MOST_BODY};
 pub use list::{watch, Entry, ListPart};
--- a/crates/protocol/tests/messages.rs
+++ b/crates/protocol/tests/messages.rs
@@ -4,7 +4,8 @@
 use http_body::Body;
 use reeddock::{EnvelopeId, LimitReport, Outcome, Standing};
 use reeddock_protocol::{
-    bundle, bundles, ending_of, endings_of_bundle, one, report_of, Ending, Letter, ListPart,
+    bundle, bundles, ending_of, endings_of_bundle, one, report_of, turns_connection_away, Ending, Letter,
+    ListPart,
 };
 use std::time::Duration;
 
@@ -65,6 +66,20 @@
     assert!(!Ending::Spoilt.outcome().never_ran());
 }
 
+#[test]
+fn only_a_503_that_closes_says_that_there_is_no_room_for_a_connection() {
+    for (status, header, told) in [
+        (503, Some(("Connection", "close")), true),
+        (503, Some(("Connection", "x, Close")), true),
+        (503, Some(("Connection", "keep-alive")), false),
+        (503, None, false),
+        (429, Some(("Connection", "close")), false),
+        (200, Some(("Connection", "close")), false),
+    ] {
+        assert_eq!(turns_connection_away(&head(status, header)), told, "{status} {header:?}");
+    }
+}
+
 #[test]
 fn the_wait_is_told_rounded_up() {
     let letter = Letter { id: EnvelopeId("a".into()), idempotency_key: None, body: Default::default() };
