Categories come by chance with the square of their credit, so that no cheap one starves

To blame: Forwarder::ranked put credit before all time, so that a category of little credit and short patience waits behind every fresh envelope of a dearer one, is late after 1.5 s, and is then behind all that is not.

Now categories are ordered by a draw weighted with the square of their credit, from a generator of its own.

--- a/src/control.rs
+++ b/src/control.rs
@@ -489,8 +489,7 @@
             return false;
         }
         // A further dispatch goes where answers have earned it, or where nothing was sent for a while. What
-        // was refused may also go by the spacing alone; where forwarders and calls are few, after a usual
-        // gap.
+        // was refused may also go by the spacing alone; where forwarders are few, after a usual gap.
         let usual = self.usual_rate(target, now).max(0.01);
         let promised = self.card.categories[envelope.category].promised;
         let idle = now.saturating_sub(target.last_sent);
@@ -686,8 +685,12 @@
     }
 
     /// Held envelopes of a destination, the one that should go first in front: inside its share before beyond
-    /// it, able to keep its promised time before late, then by promised time.
-    fn ranked(&self, destination: DestinationId, now: Duration) -> Vec<EnvelopeId> {
+    /// it, able to keep its promised time before late, by category, then by promised time. Categories come by
+    /// chance, with the square of their credit. Strictly by it, a cheap one of short patience is never sent
+    /// where a route is used up; by plain credit, dear ones lose as much as cheap ones win.
+    fn ranked(&mut self, destination: DestinationId, now: Duration) -> Vec<EnvelopeId> {
+        let draw = |credit: f64| -self.order_chance.random::<f64>().ln() / credit.max(0.001).powi(2);
+        let order: Vec<f64> = self.card.categories.iter().map(|c| c.credit).map(draw).collect();
         let d = &self.destinations[&destination];
         let mut ranked: Vec<_> = d
             .held
@@ -697,8 +700,8 @@
             .map(|(id, e)| {
                 // What may have run has a receipt that runs out, and goes before that.
                 let late = e.promised_by <= now && e.may_have_run.is_none();
-                let credit = std::cmp::Reverse((self.card.categories[e.category].credit * 1e6) as u64);
-                ((e.over_share, e.errors > 1, late, credit, e.promised_by, e.arrival), id)
+                let category = (order[e.category] * 1e6) as u64;
+                ((e.over_share, e.errors > 1, late, category, e.promised_by, e.arrival), id)
             })
             .collect();
         ranked.sort();
@@ -887,7 +890,7 @@
         Some(opens.saturating_sub(now).max(self.card.recovery_delay).min(most))
     }
 
-    /// Forgets an envelope that has its final answer or was withdrawn, and calls off what is still out for it.
+    /// Forgets an envelope that has its final answer or was withdrawn, and calls off what is out for it.
     pub fn end(&mut self, id: &EnvelopeId, host: &mut dyn Host) {
         for no in self.forget(id) {
             host.call_off(id, no);
@@ -952,7 +955,7 @@
 impl Forwarder {
     /// A new instance, which knows the terms and nothing else.
     pub fn open(now: Duration, terms: Terms, host: &mut dyn Host) -> Forwarder {
-        let chance = Pcg32::seed_from_u64(terms.seed);
+        let chance = [terms.seed, !terms.seed].map(Pcg32::seed_from_u64);
         let card = RateCard::derive(terms);
         if card.ask_within.is_some() {
             host.subscribe(true);
--- a/src/state.rs
+++ b/src/state.rs
@@ -219,6 +219,8 @@
     pub card: RateCard,
     /// Started from the seed that the host hands in, so that the same seed always draws alike.
     pub chance: Pcg32,
+    /// For the order of categories alone, so that no other draw depends on what is held.
+    pub order_chance: Pcg32,
     pub envelopes: BTreeMap<EnvelopeId, Envelope>,
     pub dispatches: BTreeMap<(EnvelopeId, DispatchNo), Dispatch>,
     /// Calls out, with the dispatches in each that have no outcome yet.
@@ -247,10 +249,11 @@
 }
 
 impl Forwarder {
-    pub(crate) fn new(card: RateCard, chance: Pcg32, tenants: Vec<Tenant>) -> Forwarder {
+    pub(crate) fn new(card: RateCard, [chance, order_chance]: [Pcg32; 2], tenants: Vec<Tenant>) -> Forwarder {
         Forwarder {
             card,
             chance,
+            order_chance,
             envelopes: BTreeMap::new(),
             dispatches: BTreeMap::new(),
             calls: BTreeMap::new(),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -716,6 +716,26 @@
     }
 }
 
+#[test]
+fn where_a_route_is_used_up_a_cheap_category_is_sent_now_and_then() {
+    let mut dear = terms();
+    dear.slots = Some(1);
+    dear.room = Some(500);
+    dear.categories[1].credit = Some(3.0);
+    let mut story = Story::new(dear);
+    story.list(true, ONE, Standing::Active);
+    let mut cheap = 0;
+    for n in 0..200 {
+        story.hand_in(&format!("note{n}"), "note", 9);
+        story.hand_in(&format!("order{n}"), "order", 9);
+        let sent = story.sent_after(ms(20));
+        assert_eq!(sent.len(), 1);
+        cheap += usize::from(sent[0].starts_with("note"));
+        story.ends(&sent[0], 0, Outcome::Completed);
+    }
+    assert!((8..40).contains(&cheap), "a tenth of the turns, by 1 against 3 x 3: {cheap} of 200");
+}
+
 #[test]
 fn what_comes_back_unsent_does_not_use_up_its_dispatches_at_once() {
     let mut story = Story::with(ONE);
