A closed connection is read out, and who waits before the door as it closes is answered

Closing over unread bytes: hyper shuts the writing side and the socket is dropped, so that the system resets it, with an answer under way. Seen in two stories: a client that still writes 8 MB of a refused body got 'Broken pipe' instead of its 413, and one that wrote after the shutdown was reset. Now the stream is taken back and read for 300 ms, what comes is thrown away, and only then it is closed; an eighth of the places for clients is for such ones, those beyond are dropped as before, and so is who never asked for anything.

Stop: accept() was aborted 0.8 s after SIGTERM, and with the listener went whoever waited in its backlog while all places were taken ('a whole answer' never came in the story). Now the door closes, accept goes on until nobody waits, and what came just then has 0.1 s for its request.

--- a/crates/forwarder/src/intake.rs
+++ b/crates/forwarder/src/intake.rs
@@ -5,13 +5,14 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::{pin, Pin};
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::header::TRANSFER_ENCODING;
 use http::{Method, Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -21,8 +22,9 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use reeddock_protocol::{Answer, HandIn, MOST_BODY};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tower::Service;
 
@@ -41,6 +43,9 @@
 const JUST_COME: Duration = Duration::from_millis(100);
 /// A connection that is to be closed while its next request begins has so long for that.
 const LAST_REQUEST: Duration = Duration::from_millis(100);
+/// A closed connection is read for so long, and what comes is thrown away: the system resets one that is dropped
+/// over unread bytes, and takes an answer along that is still under way.
+const LINGERS: Duration = Duration::from_millis(300);
 /// Before the next try where the machine has no room for a connection.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -146,6 +151,10 @@
         *locked(&self.seen)
     }
 
+    fn was_answered(&self) -> bool {
+        !matches!(self.seen(), Seen::Nothing(_))
+    }
+
     fn now(&self, seen: Seen) {
         if seen != Seen::Asking {
             *locked(&self.tally) = Tally::default();
@@ -199,6 +208,8 @@
     too_many: bool,
     /// With more connections than these, each is closed once its client is answered.
     kept: usize,
+    /// How many closed connections may linger; those beyond are dropped.
+    lingering: Arc<Semaphore>,
 }
 
 impl Service<Request<Incoming>> for Intake {
@@ -268,14 +279,26 @@
     }
 }
 
-/// Accepts and serves clients until it is dropped; connections that are open then are served on.
+/// Accepts and serves clients until the door closes and nobody waits before it; connections that are open then are
+/// served on.
 pub async fn accept(listener: TcpListener, limits: Limits, door: Arc<Door>, owner: mpsc::Sender<Event>) {
     let mut seldom = Seldom::default();
+    let mut closing = door.closing.subscribe();
+    let lingering = Arc::new(Semaphore::new(limits.lingering));
     for number in 0.. {
         while door.guests().len() >= limits.accepted && !door.spare_one() {
             sleep(ACCEPT_AGAIN).await;
         }
-        let (stream, from) = match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            // Whoever has connected by now would be reset with the listener.
+            _ = closing.wait_for(|closing| *closing) => match listener.accept().now_or_never() {
+                Some(accepted) => accepted,
+                None => return,
+            },
+        };
+        let (stream, from) = match accepted {
             Ok(accepted) => accepted,
             Err(e) => {
                 if out_of_descriptors(&e) {
@@ -295,7 +318,14 @@
             out: Notify::new(),
         });
         door.guests().insert(number, guest.clone());
-        let intake = Intake { door: door.clone(), guest, owner: owner.clone(), too_many, kept: limits.kept };
+        let intake = Intake {
+            door: door.clone(),
+            guest,
+            owner: owner.clone(),
+            too_many,
+            kept: limits.kept,
+            lingering: lingering.clone(),
+        };
         let door = door.clone();
         tokio::spawn(async move {
             let stream = Tallied { stream: TokioIo::new(stream), guest: intake.guest.clone() };
@@ -305,6 +335,8 @@
     }
 }
 
+type Serving = http1::Connection<Tallied, TowerToHyperService<Intake>>;
+
 async fn serve(stream: Tallied, from: SocketAddr, intake: Intake) {
     let guest = intake.guest.clone();
     let mut closing = intake.door.closing.subscribe();
@@ -315,26 +347,54 @@
             () = idle(&guest) => false,
         }
     };
+    let lingering = intake.lingering.clone();
     let service = TowerToHyperService::new(intake);
-    let mut serving = pin!(http1::Builder::new().max_buf_size(16 * 1024).serve_connection(stream, service));
+    let mut serving: Serving =
+        http1::Builder::new().max_buf_size(16 * 1024).serve_connection(stream, service);
     let served = tokio::select! {
         biased;
-        served = serving.as_mut() => served,
+        served = &mut serving => served,
         all = told => {
-            serving.as_mut().graceful_shutdown();
-            loop {
-                let nothing = !all && matches!(guest.seen(), Seen::Nothing(_));
-                let patience = if nothing { Duration::ZERO } else { LAST_REQUEST };
-                let ended = timeout(patience, serving.as_mut()).await;
-                if ended.is_ok() || !all && guest.seen() != Seen::Asking {
-                    return;
-                }
+            // What came as the door closed has its request on the way.
+            let just_come = all && !guest.was_answered();
+            let first = if just_come { timeout(LAST_REQUEST, &mut serving).await.ok() } else { None };
+            match first {
+                Some(served) => served,
+                None => close(&mut serving, &guest, all).await,
             }
         }
     };
     if let Err(e) = served {
         tracing::debug!(%from, %e, "a client's connection ended");
     }
+    // One that was never asked for anything has no answer under way.
+    let place = lingering.try_acquire_owned();
+    if place.is_ok() && guest.was_answered() {
+        linger(serving.into_parts().io.stream.into_inner()).await;
+    }
+}
+
+/// Closes a connection, once a request that has begun is answered.
+async fn close(serving: &mut Serving, guest: &Guest, all: bool) -> hyper::Result<()> {
+    Pin::new(&mut *serving).graceful_shutdown();
+    loop {
+        let nothing = !all && !guest.was_answered();
+        let patience = if nothing { Duration::ZERO } else { LAST_REQUEST };
+        match timeout(patience, &mut *serving).await {
+            Ok(served) => return served,
+            Err(_) if !all && guest.seen() != Seen::Asking => return Ok(()),
+            Err(_) => {}
+        }
+    }
+}
+
+/// Ends the writing side and throws away what still comes: none of it is taken on.
+async fn linger(mut stream: TcpStream) {
+    let drained = async {
+        stream.shutdown().await?;
+        tokio::io::copy(&mut stream, &mut tokio::io::sink()).await
+    };
+    let _ = timeout(LINGERS, drained).await;
 }
 
 /// Until no request has been open on the connection for as long as one may stand idle.
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -129,8 +129,9 @@
         let by = Instant::now() + post.leave_within;
         let _ = events.send(Event::Leaving(by)).await;
         sleep(post.clients_come_for).await;
-        accepting.abort();
         door.close();
+        // Its end is that of the last connection which came before it.
+        let _ = accepting.await;
         while !door.empty() {
             sleep(Duration::from_millis(20)).await;
         }
--- a/crates/forwarder/src/limits.rs
+++ b/crates/forwarder/src/limits.rs
@@ -18,6 +18,8 @@
     /// Connections of clients up to which those that were answered are kept for more: clients hold only so many
     /// too, and some ask once and stay, so that the others could not come.
     pub kept: usize,
+    /// Closed connections of clients that are still read from.
+    pub lingering: usize,
     /// Connections to targets, idle ones counted.
     pub calls: usize,
     /// Hand-ins that wait for the owner of the module.
@@ -31,12 +33,15 @@
         // Files, the listener, the runtime, discovery and notices.
         let free = allowance.descriptors.saturating_sub(32).max(8);
         // Clients that ask once and stay, or never ask, take more places than calls do.
-        let accepted = free * 3 / 5;
+        let places = free * 3 / 5;
+        let lingering = places / 8;
+        let accepted = places - lingering;
         Limits {
             clients: accepted - accepted / 8,
             accepted,
-            kept: accepted / 8,
-            calls: free - accepted,
+            lingering,
+            kept: places / 8,
+            calls: free - places,
             queue: 1024,
             // The rest is for connections, each with the body that it is reading, and for the program.
             bodies: allowance.memory_bytes / 4,
--- a/crates/forwarder/tests/loopback/crossings.rs
+++ b/crates/forwarder/tests/loopback/crossings.rs
@@ -12,8 +12,8 @@
 use reeddock_ledger::{Ledger, Record};
 use reeddock_protocol::{Ending, GivenUp};
 use socket2::SockRef;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tower::Service;
@@ -282,3 +282,82 @@
         life.kill();
     });
 }
+
+/// All that still comes on a connection; an error where it is reset.
+async fn rest_of(stream: &mut TcpStream) -> std::io::Result<String> {
+    let mut rest = String::new();
+    stream.read_to_string(&mut rest).await.map(|_| rest)
+}
+
+#[test]
+fn an_answer_is_not_reset_by_what_its_client_still_sends() {
+    story(async {
+        let world = World::new(|_| Reply::Say(OK.into())).await;
+        let mut life = world.forwarder().await;
+        let mut stream = TcpStream::connect(life.address).await.unwrap();
+        // Refused by its head, while far more of its body comes than the system holds for either side.
+        let request = envelope("a", "note", 5.0, &"x".repeat(8_000_000));
+        stream.write_all(request.as_bytes()).await.expect("all of it is taken");
+        let answer = rest_of(&mut stream).await.expect("an end, not a reset");
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+        life.kill();
+    });
+}
+
+#[test]
+fn what_is_written_between_the_shutdown_and_the_close_is_not_taken_on() {
+    story(async {
+        let mut world = World::new(|_| Reply::Say(OK.into())).await;
+        world.clients_come_for = ms(10_000);
+        let mut life = world.forwarder().await;
+        life.stop.take();
+        let mut stream = TcpStream::connect(life.address).await.unwrap();
+        let mut answer = String::new();
+        while !answer.contains("connection: close") {
+            // Until the stop has been heard, answers don't ask to go.
+            stream = TcpStream::connect(life.address).await.unwrap();
+            stream.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+            let message = read_message(&mut stream).await.unwrap();
+            answer = format!("connection: {}", message.headers.get("connection").map_or("", String::as_str));
+        }
+        // Its end has come, and the connection is not closed yet.
+        assert_eq!(stream.read(&mut [0; 1]).await.unwrap(), 0);
+        let late = envelope("late", "note", 5.0, "x");
+        // A reset by the first half would refuse the second.
+        for half in [&late[..20], &late[20..]] {
+            stream.write_all(half.as_bytes()).await.expect("read and thrown away");
+        }
+        assert_eq!(rest_of(&mut stream).await.expect("no reset"), "");
+        assert_eq!(hand_in(&life, "good", "note").await, 202);
+        until("the good one", || world.target.got().pop()).await;
+        world.settled().await;
+        assert!(world.target.got().iter().all(|m| m.id() == "good"));
+        life.kill();
+    });
+}
+
+#[test]
+fn who_waits_before_the_door_as_it_closes_is_answered() {
+    story(async {
+        let mut world = World::new(|_| Reply::Say(OK.into())).await;
+        world.allowance.descriptors = 40;
+        world.clients_come_for = ms(0);
+        let mut life = world.forwarder().await;
+        // Every place is taken by a request that lacks the end of its body.
+        let cut = envelope("cut", "note", 5.0, "xx").replace("\r\n\r\nxx", "\r\n\r\nx");
+        let mut taken = Vec::new();
+        for _ in 0..4 {
+            let mut stream = TcpStream::connect(life.address).await.unwrap();
+            stream.write_all(cut.as_bytes()).await.unwrap();
+            taken.push(stream);
+        }
+        let mut waiting = TcpStream::connect(life.address).await.unwrap();
+        waiting.write_all(envelope("a", "note", 5.0, "x").as_bytes()).await.unwrap();
+        life.stop.take();
+        let answer = read_message(&mut waiting).await.expect("a whole answer");
+        assert_eq!(status(&answer), 202);
+        until("its delivery before the end", || world.target.got().pop()).await;
+        until("the end", || life.thread.as_ref().is_some_and(|t| t.is_finished()).then_some(())).await;
+        world.settled().await;
+    });
+}
--- a/crates/forwarder/tests/loopback/stand_ins.rs
+++ b/crates/forwarder/tests/loopback/stand_ins.rs
@@ -189,6 +189,7 @@
     pub asking: bool,
     /// An envelope may have two dispatches out.
     pub copies: bool,
+    pub clients_come_for: Duration,
 }
 
 impl Drop for World {
@@ -227,6 +228,7 @@
             tick: ms(5),
             asking: false,
             copies: true,
+            clients_come_for: ms(1000),
         }
     }
 
@@ -299,7 +301,7 @@
             connect_within: ms(1000),
             closed_after: self.closed_after,
             leave_within: ms(3000),
-            clients_come_for: ms(1000),
+            clients_come_for: self.clients_come_for,
         };
         let ((kill, killed), (stop, stopped)) = (oneshot::channel::<()>(), oneshot::channel::<()>());
         let thread = std::thread::spawn(move || {
