What passes on a connection is read in one file without I/O; unit tests stand in test files

The scan for the end of a head stood twice, in connections.rs and in intake.rs, and is HeadEnd in passage.rs now, with Departure and Arrival, which connections.rs carried beside its sockets. Their tests, and those of reopening.rs and clock.rs, are in tests/units.rs with their assertions unchanged (the clock's measures from the spans' beginning, a whole number of widths before the start, as its start is private). crates/ledger/src/plan.rs still has inline tests.

--- a/crates/forwarder/src/clock.rs
+++ b/crates/forwarder/src/clock.rs
@@ -49,20 +49,3 @@
         (Duration::from_micros(stored) + BEFORE).saturating_sub(self.wall)
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn what_was_stored_is_read_as_the_same_time_and_the_grid_is_kept() {
-        let clock = Clock::start();
-        let before = clock.now() - Duration::from_secs(60);
-        let read = clock.read(clock.stored(before));
-        assert!(before - read < Duration::from_micros(2), "{before:?} {read:?}");
-        let width = Duration::from_millis(5);
-        let next = clock.next(width) - clock.start;
-        assert_eq!(next.as_nanos() % width.as_nanos(), 0);
-        assert!(clock.next(Duration::ZERO) <= Instant::now());
-    }
-}
--- a/crates/forwarder/src/connections.rs
+++ b/crates/forwarder/src/connections.rs
@@ -26,6 +26,7 @@
 use tokio::time::{timeout, Instant};
 
 use crate::crowding::Crowding;
+use crate::passage::{Arrival, Departure};
 
 pub(crate) fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -34,81 +35,6 @@
 /// No head that belongs here comes near this; one that has no end stops here.
 const LONGEST_HEAD: usize = 32 * 1024;
 
-/// How much of a request has been handed to the system, read from the bytes themselves: what a library still
-/// holds back has not left, and a call that has not left whole cannot have run.
-#[derive(Default)]
-struct Departure {
-    begun: bool,
-    /// Bytes of the blank line after the head seen so far.
-    blank: usize,
-    head_gone: bool,
-    body_left: usize,
-}
-
-impl Departure {
-    fn begin(&mut self, body: usize) {
-        *self = Departure { body_left: body, ..Departure::default() };
-    }
-
-    fn gone(&mut self, mut bytes: &[u8]) {
-        const BLANK: &[u8] = b"\r\n\r\n";
-        self.begun |= !bytes.is_empty();
-        while let (false, Some((byte, rest))) = (self.head_gone, bytes.split_first()) {
-            self.blank =
-                if *byte == BLANK[self.blank] { self.blank + 1 } else { usize::from(*byte == b'\r') };
-            self.head_gone = self.blank == BLANK.len();
-            bytes = rest;
-        }
-        self.body_left = self.body_left.saturating_sub(bytes.len());
-    }
-
-    fn complete(&self) -> bool {
-        self.head_gone && self.body_left == 0
-    }
-}
-
-/// The first line of an answer, read from the bytes themselves: a library that can't read what follows it
-/// hides it, and it may have said that the call was completed. Lines of 1xx answers in front don't count.
-#[derive(Default)]
-struct Arrival {
-    line: Vec<u8>,
-    /// In the rest of a 1xx answer's head.
-    aside: bool,
-    whole: bool,
-}
-
-impl Arrival {
-    /// Longer first lines are noise.
-    const LONGEST: usize = 256;
-
-    fn come(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            if self.whole || self.line.len() > Arrival::LONGEST {
-                return;
-            }
-            self.line.push(*byte);
-            if *byte != b'\n' {
-                continue;
-            }
-            let line = self.line.trim_ascii_end();
-            if self.aside {
-                self.aside = !line.is_empty();
-                self.line.clear();
-            } else if line.len() >= 12 && line.starts_with(b"HTTP/1.") && line[8..].starts_with(b" 1") {
-                self.aside = true;
-                self.line.clear();
-            } else {
-                self.whole = true;
-            }
-        }
-    }
-
-    fn says_ok(&self) -> bool {
-        let status = self.line.strip_prefix(b"HTTP/1.1 200").or(self.line.strip_prefix(b"HTTP/1.0 200"));
-        self.whole && status.is_some_and(|rest| rest[0].is_ascii_whitespace())
-    }
-}
-
 /// What one request and its answer have come to on their connection.
 #[derive(Default)]
 struct Passage {
@@ -137,10 +63,7 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: ReadBufCursor) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         read_through(&mut this.stream, cx, buf, |bytes| {
-            let mut arrival = locked(&this.passage.arrival);
-            let before = arrival.whole;
-            arrival.come(bytes);
-            if arrival.whole != before {
+            if locked(&this.passage.arrival).come(bytes) {
                 this.passage.told.notify_one();
             }
         })
@@ -166,7 +89,7 @@
 impl Write for Noted {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        if !locked(&this.passage.departure).begun && !this.silent() {
+        if !locked(&this.passage.departure).begun() && !this.silent() {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         let written = Pin::new(&mut this.stream).poll_write(cx, bytes);
@@ -265,7 +188,7 @@
     /// Whether nothing of the last request was written, on a connection that had served before: it had ended
     /// between two requests, and that says nothing of the other side.
     pub fn was_over(&self) -> bool {
-        self.requests > 1 && !locked(&self.passage.departure).begun
+        self.requests > 1 && !locked(&self.passage.departure).begun()
     }
 
     /// Whether the first line of the answer says that the call was completed.
@@ -454,7 +377,7 @@
 
     /// The last request on this connection was answered, or has broken it.
     pub fn used(&self, connection: &Connection, answered: bool) {
-        let broke = !answered && locked(&connection.passage.arrival).line.is_empty();
+        let broke = !answered && locked(&connection.passage.arrival).is_empty();
         locked(&self.uses).saw(connection.idle, broke);
     }
 
@@ -485,48 +408,3 @@
         oldest.and_then(VecDeque::pop_front).is_some()
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::{Arrival, Departure};
-
-    #[test]
-    fn the_first_line_is_kept_whatever_follows_and_however_it_comes() {
-        for (answer, ok) in [
-            ("HTTP/1.1 200 OK\r\n\0\x01", true),
-            ("HTTP/1.1 200\r\n", true),
-            ("HTTP/1.1 100 Continue\r\na: b\r\n\r\nHTTP/1.1 102 x\r\n\r\nHTTP/1.0 200 OK\r\nx", true),
-            ("HTTP/1.1 103 Early\r\nl: HTTP/1.1 200 OK\r\n", false),
-            ("HTTP/1.1 200 OK", false),
-            ("HTTP/1.1 2000 OK\r\n", false),
-            ("HTTP/1.1 503 no\r\nHTTP/1.1 200 OK\r\n", false),
-            ("noise\r\nHTTP/1.1 200 OK\r\n", false),
-        ] {
-            for split in 0..answer.len() {
-                let mut arrival = Arrival::default();
-                arrival.come(&answer.as_bytes()[..split]);
-                arrival.come(&answer.as_bytes()[split..]);
-                assert_eq!(arrival.says_ok(), ok, "{answer:?} {split}");
-            }
-        }
-    }
-
-    #[test]
-    fn a_call_has_left_with_the_last_byte_of_its_body_and_not_before() {
-        let request = b"POST / HTTP/1.1\r\na: \r\r\n\r\n12345\r\n\r\n";
-        for split in 0..request.len() {
-            let mut departure = Departure::default();
-            departure.begin(9);
-            departure.gone(&request[..split]);
-            assert!(!departure.complete(), "{split}");
-            departure.gone(&request[split..]);
-            assert!(departure.complete());
-        }
-        let mut empty = Departure::default();
-        empty.begin(0);
-        empty.gone(b"POST / HTTP/1.1\r\n\r");
-        assert!(!empty.complete());
-        empty.gone(b"\n");
-        assert!(empty.complete());
-    }
-}
--- a/crates/forwarder/src/intake.rs
+++ b/crates/forwarder/src/intake.rs
@@ -31,6 +31,7 @@
 use crate::connections::{locked, out_of_descriptors, read_through};
 use crate::limits::Limits;
 use crate::owner::Event;
+use crate::passage::HeadEnd;
 use crate::seldom::Seldom;
 
 /// A first request whose head has not come by then, and a body that has not come so long after its head, are
@@ -69,22 +70,13 @@
 /// length, or another request inside it, as clients send one at a time.
 #[derive(Default)]
 struct Tally {
-    /// Bytes of the blank line after the head seen so far.
-    blank: usize,
-    head_over: bool,
+    head: HeadEnd,
     past_head: usize,
 }
 
 impl Tally {
-    fn come(&mut self, mut bytes: &[u8]) {
-        const BLANK: &[u8] = b"\r\n\r\n";
-        while let (false, Some((byte, rest))) = (self.head_over, bytes.split_first()) {
-            self.blank =
-                if *byte == BLANK[self.blank] { self.blank + 1 } else { usize::from(*byte == b'\r') };
-            self.head_over = self.blank == BLANK.len();
-            bytes = rest;
-        }
-        self.past_head += bytes.len();
+    fn come(&mut self, bytes: &[u8]) {
+        self.past_head += self.head.skip(bytes).len();
     }
 }
 
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`owner`] | owns the module and the ledger; one queue leads to it |
 //! | [`calls`] | one call to a target, to its end |
 //! | [`connections`] | connections, kept and counted |
+//! | [`passage`] | what has passed on a connection |
 //! | [`crowding`] | which kinds of target have no room for idle connections |
 //! | [`discovery`] | the watch on the list of targets |
 //! | [`notices`] | tells the platform of what was not delivered |
@@ -23,6 +24,7 @@
 pub mod limits;
 pub mod notices;
 pub mod owner;
+pub mod passage;
 pub mod reopening;
 pub mod seldom;
 
--- /dev/null
+++ b/crates/forwarder/tests/units.rs
@@ -0,0 +1,108 @@
+//! The parts that do no I/O, each by itself.
+
+use std::time::Duration;
+
+use reeddock_forwarder::clock::Clock;
+use reeddock_forwarder::passage::{Arrival, Departure};
+use reeddock_forwarder::reopening::{Loss, Reopening, REFUSED_FIRST, REFUSED_MOST};
+use tokio::time::Instant;
+
+#[test]
+fn the_first_line_is_kept_whatever_follows_and_however_it_comes() {
+    for (answer, ok) in [
+        ("HTTP/1.1 200 OK\r\n\0\x01", true),
+        ("HTTP/1.1 200\r\n", true),
+        ("HTTP/1.1 100 Continue\r\na: b\r\n\r\nHTTP/1.1 102 x\r\n\r\nHTTP/1.0 200 OK\r\nx", true),
+        ("HTTP/1.1 103 Early\r\nl: HTTP/1.1 200 OK\r\n", false),
+        ("HTTP/1.1 200 OK", false),
+        ("HTTP/1.1 2000 OK\r\n", false),
+        ("HTTP/1.1 503 no\r\nHTTP/1.1 200 OK\r\n", false),
+        ("noise\r\nHTTP/1.1 200 OK\r\n", false),
+    ] {
+        for split in 0..answer.len() {
+            let mut arrival = Arrival::default();
+            arrival.come(&answer.as_bytes()[..split]);
+            arrival.come(&answer.as_bytes()[split..]);
+            assert_eq!(arrival.says_ok(), ok, "{answer:?} {split}");
+        }
+    }
+}
+
+#[test]
+fn a_call_has_left_with_the_last_byte_of_its_body_and_not_before() {
+    let request = b"POST / HTTP/1.1\r\na: \r\r\n\r\n12345\r\n\r\n";
+    for split in 0..request.len() {
+        let mut departure = Departure::default();
+        departure.begin(9);
+        departure.gone(&request[..split]);
+        assert!(!departure.complete(), "{split}");
+        departure.gone(&request[split..]);
+        assert!(departure.complete());
+    }
+    let mut empty = Departure::default();
+    empty.begin(0);
+    empty.gone(b"POST / HTTP/1.1\r\n\r");
+    assert!(!empty.complete());
+    empty.gone(b"\n");
+    assert!(empty.complete());
+}
+
+/// Takes ten watches a second, and refused calls use that up too.
+fn overbooked(fleet: u64, span: Duration) -> usize {
+    let mut calls: Vec<(Duration, Reopening)> = (0..fleet)
+        .map(|seed| {
+            let mut reopening = Reopening::new(seed);
+            (reopening.rest(&Loss::Broken("reset".into())), reopening)
+        })
+        .collect();
+    let mut lately: Vec<Duration> = Vec::new();
+    let mut watching = 0;
+    loop {
+        calls.sort_by_key(|c| c.0);
+        let Some((now, reopening)) = calls.first_mut().filter(|c| c.0 < span) else { return watching };
+        lately.retain(|t| now.saturating_sub(*t) < Duration::from_secs(1));
+        lately.push(*now);
+        if lately.len() <= 10 {
+            watching += 1;
+            calls.remove(0);
+        } else {
+            *now += reopening.rest(&Loss::Refused("503".into(), None));
+        }
+    }
+}
+
+#[test]
+fn a_fleet_that_lost_its_watches_together_does_not_keep_discovery_overbooked() {
+    for fleet in [3, 30, 100, 300] {
+        let watching = overbooked(fleet, Duration::from_secs(120));
+        assert_eq!(watching as u64, fleet, "of {fleet}");
+    }
+    let soon = overbooked(100, Duration::from_secs(20));
+    assert!(soon >= 60, "after 20 s {soon} of 100");
+}
+
+#[test]
+fn an_asked_wait_is_kept_and_a_line_ends_the_backing_off() {
+    let wait = Duration::from_secs(40);
+    let mut reopening = Reopening::new(7);
+    for _ in 0..20 {
+        let rest = reopening.rest(&Loss::Refused("503".into(), Some(wait)));
+        assert!(rest >= wait && rest <= wait + 2 * REFUSED_MOST, "{rest:?}");
+    }
+    reopening.start_over();
+    assert!(reopening.rest(&Loss::Broken("reset".into())) < Duration::from_millis(150));
+    assert!(reopening.rest(&Loss::Refused("503".into(), None)) <= 2 * REFUSED_FIRST);
+}
+
+#[test]
+fn what_was_stored_is_read_as_the_same_time_and_the_grid_is_kept() {
+    let clock = Clock::start();
+    let before = clock.now() - Duration::from_secs(60);
+    let read = clock.read(clock.stored(before));
+    assert!(before - read < Duration::from_micros(2), "{before:?} {read:?}");
+    let width = Duration::from_millis(5);
+    // Spans begin a whole number of widths before the start.
+    let next = clock.at(clock.next(width));
+    assert_eq!(next.as_nanos() % width.as_nanos(), 0);
+    assert!(clock.next(Duration::ZERO) <= Instant::now());
+}
