Half a head read as the door closes gets its answer; restarts under a stale list, spared clients

Seen in a story written for it: a kept connection on which 40 bytes of a request had been read when the door closed ended with no answer. hyper's graceful shutdown calls such a connection idle and ends it, and the client has to repeat its request elsewhere; the 0.1 s that serve() meant to give came after that call. To blame: serve() in intake.rs, which shut down first. Now Guest::begins, from the bytes that have come since the last answer, gives the rest of the head 0.1 s before.

--- a/crates/forwarder/src/intake.rs
+++ b/crates/forwarder/src/intake.rs
@@ -70,12 +70,14 @@
 /// length, or another request inside it, as clients send one at a time.
 #[derive(Default)]
 struct Tally {
+    begun: bool,
     head: HeadEnd,
     past_head: usize,
 }
 
 impl Tally {
     fn come(&mut self, bytes: &[u8]) {
+        self.begun |= !bytes.is_empty();
         self.past_head += self.head.skip(bytes).len();
     }
 }
@@ -143,6 +145,11 @@
         *locked(&self.seen)
     }
 
+    /// Whether a part of its next head has come.
+    fn begins(&self) -> bool {
+        self.was_answered() && self.seen() != Seen::Asking && locked(&self.tally).begun
+    }
+
     fn was_answered(&self) -> bool {
         !matches!(self.seen(), Seen::Nothing(_))
     }
@@ -347,9 +354,9 @@
         biased;
         served = &mut serving => served,
         all = told => {
-            // What came as the door closed has its request on the way.
-            let just_come = all && !guest.was_answered();
-            let first = if just_come { timeout(LAST_REQUEST, &mut serving).await.ok() } else { None };
+            // Half a head may be here, and what came as the door closed has its request on the way.
+            let expected = all && !guest.was_answered() || guest.begins();
+            let first = if expected { timeout(LAST_REQUEST, &mut serving).await.ok() } else { None };
             match first {
                 Some(served) => served,
                 None => close(&mut serving, &guest, all).await,
--- a/crates/forwarder/tests/loopback/crossings.rs
+++ b/crates/forwarder/tests/loopback/crossings.rs
@@ -3,13 +3,14 @@
 use std::collections::BTreeSet;
 use std::mem::MaybeUninit;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use reeddock::{Effect, TargetId};
 use reeddock_forwarder::calls::{see_through, Call, Carried, Courier};
 use reeddock_forwarder::connections::Connections;
 use reeddock_forwarder::crowding::Crowding;
 use reeddock_forwarder::owner::Event;
-use reeddock_ledger::{Ledger, Record};
+use reeddock_ledger::{Ledger, Record, Taken};
 use reeddock_protocol::{Ending, GivenUp};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -394,3 +395,110 @@
         life.kill();
     });
 }
+
+#[test]
+fn a_request_that_had_begun_on_a_kept_connection_as_the_door_closed_is_answered() {
+    story(async {
+        let mut world = World::new(|_| Reply::Say(OK.into())).await;
+        world.clients_come_for = ms(0);
+        let mut life = world.forwarder().await;
+        let mut kept = TcpStream::connect(life.address).await.unwrap();
+        kept.write_all(envelope("a", "note", 15.0, "x").as_bytes()).await.unwrap();
+        assert_eq!(status(&read_message(&mut kept).await.unwrap()), 202);
+        let last = envelope("last", "note", 15.0, "x");
+        kept.write_all(&last.as_bytes()[..40]).await.unwrap();
+        // Answered after those bytes were there; and idle, so that its end says that the door has closed.
+        let mut idle = TcpStream::connect(life.address).await.unwrap();
+        idle.write_all(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+        assert_eq!(status(&read_message(&mut idle).await.unwrap()), 200);
+        life.stop.take();
+        assert_eq!(rest_of(&mut idle).await.unwrap(), "");
+        kept.write_all(&last.as_bytes()[40..]).await.unwrap();
+        assert_eq!(status(&read_message(&mut kept).await.expect("a whole answer")), 202);
+        until("both", || (world.target.got().len() == 2).then_some(())).await;
+        until("the end", || life.thread.as_ref().is_some_and(|t| t.is_finished()).then_some(())).await;
+        world.settled().await;
+    });
+}
+
+#[test]
+fn the_answer_of_a_connection_that_is_spared_for_another_arrives_whole() {
+    story(async {
+        let mut world = World::new(|_| Reply::Say(OK.into())).await;
+        world.allowance.descriptors = 96;
+        let mut life = world.forwarder().await;
+        let mut spared = TcpStream::connect(life.address).await.unwrap();
+        spared.write_all(envelope("a", "note", 15.0, "x").as_bytes()).await.unwrap();
+        until("its delivery", || world.target.got().pop()).await;
+        // All other places are taken by requests that lack the end of their bodies; one more takes its place.
+        let cut = envelope("cut", "note", 5.0, "xx").replace("\r\n\r\nxx", "\r\n\r\nx");
+        let mut others = Vec::new();
+        for _ in 0..30 {
+            let mut stream = TcpStream::connect(life.address).await.unwrap();
+            stream.write_all(cut.as_bytes()).await.unwrap();
+            others.push(stream);
+        }
+        assert_eq!(status(&read_message(&mut spared).await.expect("its answer")), 202);
+        assert_eq!(rest_of(&mut spared).await.expect("an end, not a reset"), "");
+        for half in ["POST /api HTTP/1.1\r\n", "X-Call-Id: late\r\n"] {
+            spared.write_all(half.as_bytes()).await.expect("read and thrown away");
+        }
+        assert_eq!(world.target.got().len(), 1);
+        life.kill();
+    });
+}
+
+#[test]
+fn a_restart_under_a_stale_list_ends_the_untried_the_tried_and_the_unsure_of_each_effect() {
+    story(async {
+        let world = World::new(|m| {
+            let ids = m.body.lines().filter_map(|line| line.strip_suffix(" - 1"));
+            let body: String = ids.map(|id| format!("{id} accepted\r\n")).collect();
+            Reply::Say(format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len()))
+        })
+        .await;
+        let gone = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let at = |span: Duration| span.as_micros() as u64;
+        let mut records = Vec::new();
+        for category in ["note", "order", "mark"] {
+            for past in ["untried", "tried", "unsure"] {
+                let id = format!("{category}-{past}");
+                records.push(Record::Taken(Taken {
+                    id: id.clone(),
+                    category: category.into(),
+                    tenant: None,
+                    key: None,
+                    destination: 3,
+                    outer_limit: at(unix + ms(15_000)),
+                    body: "x".into(),
+                    idempotency_key: None,
+                }));
+                if past != "untried" {
+                    let begun = at(unix - ms(500));
+                    records.push(Record::Begun { id: id.clone(), no: 0, target: "t".into(), at: begun });
+                }
+                if past == "tried" {
+                    records.push(Record::Returned { id, no: 0, never_ran: true });
+                }
+            }
+        }
+        let mut ledger = Ledger::open(&world.folder, 3_000_000, Default::default()).unwrap();
+        ledger.append(&records, ms(0)).unwrap();
+        drop(ledger);
+        // The list that it starts with has the target where nobody is any more.
+        let mut life = world.forwarder_knowing(list(1, true, &[listed("t", gone, 3, "Ready")])).await;
+        until("the end of what may not go again", || world.notices().contains("order-unsure").then_some(()))
+            .await;
+        world.tell(list(2, false, &[listed("t", world.target.address, 3, "Ready")]));
+        world.settled().await;
+        let calls: Vec<String> = world.target.got().iter().map(|m| m.id().to_owned() + &m.body).collect();
+        for record in &records {
+            let Record::Taken(Taken { id, .. }) = record else { continue };
+            let sent = calls.iter().any(|call| call.contains(id.as_str()));
+            assert_eq!(sent, id != "order-unsure", "{id}");
+            assert_eq!(world.notices().contains(id.as_str()), id == "order-unsure", "{id}");
+        }
+        life.kill();
+    });
+}
