The module names targets it drops, and a list may break off half-way

Cause: the network side walks its whole table of targets after each part of a list to find what the module forgot, and a list that is read in pieces needs an end for one that stops in the middle. Change: list_ends returns what a whole list dropped, take_forgotten what left the memory, list_broken ends a list without dropping anything. Measured: nothing yet; no caller uses it.

--- a/src/state.rs
+++ b/src/state.rs
@@ -237,6 +237,8 @@
     pub last_answer: Duration,
     /// Targets named so far by a whole list that is being told.
     pub telling: Option<BTreeSet<TargetId>>,
+    /// Targets dropped from memory that the host has not been told of.
+    pub forgotten: Vec<TargetId>,
     /// When to ask for the list again, and how long it rested after the last failure.
     pub ask_at: Option<Duration>,
     pub list_rest: Duration,
@@ -266,6 +268,7 @@
             pace: None,
             last_answer: Duration::ZERO,
             telling: None,
+            forgotten: Vec::new(),
             ask_at: None,
             list_rest: Duration::ZERO,
             counter: 0,
@@ -281,12 +284,27 @@
         self.telling = whole.then(Default::default);
     }
 
-    /// The list has been told; what a whole one did not name is gone.
-    pub fn list_ends(&mut self) {
-        let Some(named) = self.telling.take() else { return };
-        for (_, target) in self.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
+    /// The list has been told; what a whole one did not name is gone. Returns the targets that went with it.
+    pub fn list_ends(&mut self) -> Vec<TargetId> {
+        let Some(named) = self.telling.take() else { return Vec::new() };
+        let mut dropped = Vec::new();
+        for (id, target) in self.targets.iter_mut().filter(|(id, _)| !named.contains(id)) {
+            if target.standing != Standing::Gone {
+                dropped.push(*id);
+            }
             target.standing = Standing::Gone;
         }
+        dropped
+    }
+
+    /// The list broke off before its end: what was told of it holds, and what it did not name stays.
+    pub fn list_broken(&mut self) {
+        self.telling = None;
+    }
+
+    /// Targets that were dropped from memory since the last call; a host need not know them any longer.
+    pub fn take_forgotten(&mut self) -> Vec<TargetId> {
+        std::mem::take(&mut self.forgotten)
     }
 
     /// Drops targets that have been gone for so long, with their circuits, and destinations that have none left
@@ -301,6 +319,7 @@
         }
         for id in &past {
             let Some(target) = self.targets.remove(id) else { continue };
+            self.forgotten.push(*id);
             self.circuits.remove(&Route::Apart(*id));
             let Some(d) = self.destinations.get_mut(&target.destination) else { continue };
             d.targets.remove(id);
