The lab records the module's calls and requests, and compares recordings

Cause: the inside of the module is to be rewritten while its decisions stay the same, and nothing showed two builds to decide alike. It uses the module's public interface alone.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod draw;
 mod page;
+mod record;
 mod results;
 mod runs;
 mod search;
@@ -15,6 +16,7 @@
 
 pub use draw::draw;
 pub use page::page;
+pub use record::{compare_recordings, Compared, Recorded, RecordingRun, StreamRun};
 pub use results::{Figures, Finding, Result, Row, Spread, SweepRow};
 pub use runs::{Comparison, Lab, Sweep};
 pub use search::Search;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand};
-use reeddock_lab::{Comparison, Fault, Lab, Policies, Search, Setting, Sweep};
+use reeddock_lab::{Comparison, Fault, Lab, Policies, RecordingRun, Search, Setting, StreamRun, Sweep};
+use reeddock_recorder::Form;
 
 /// Plays fleets of forwarders in simulated time and says what they earn, cost and break.
 #[derive(Parser)]
@@ -65,6 +66,8 @@
     },
     /// Play what a search found, and say whether it is still seen.
     Replay { file: PathBuf },
+    /// Write down every call into the decision module and every request that it makes.
+    Record(Record),
     /// One HTML page with plots of the results in a folder.
     Report {
         folder: PathBuf,
@@ -95,6 +98,46 @@
     out: Option<PathBuf>,
 }
 
+#[derive(Args)]
+struct Record {
+    /// Scenarios to play in the emulator under the module.
+    scenarios: Vec<PathBuf>,
+    /// So many random event streams straight at the module, with seeds from --seed up.
+    #[arg(long, value_name = "COUNT", conflicts_with = "scenarios")]
+    streams: Option<u64>,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Days of each scenario, with seeds from --seed up.
+    #[arg(long, default_value_t = 1, conflicts_with = "streams")]
+    seeds: u64,
+    /// Where recordings are put; none of the same name may be there.
+    #[arg(long, value_name = "FOLDER", default_value = "recordings")]
+    out: PathBuf,
+    /// Digests of every thousand lines of a forwarder in the place of the lines.
+    #[arg(long)]
+    digest: bool,
+    /// Compare two folders of recordings; the exit code is 1 where they differ.
+    #[arg(long, num_args = 2, value_names = ["A", "B"], conflicts_with_all = ["scenarios", "streams", "seeds", "out", "digest"])]
+    compare: Option<Vec<PathBuf>>,
+}
+
+fn record(lab: &Lab, what: Record, json: bool) -> Result<ExitCode, Fault> {
+    if let Some([left, right]) = what.compare.as_deref() {
+        return reeddock_lab::compare_recordings(left, right)?.print(json);
+    }
+    let form = if what.digest { Form::Digest } else { Form::Full };
+    let (out, seed) = (what.out, what.seed);
+    let recorded = match what.streams {
+        Some(count) => lab.record_streams(&StreamRun { count, seed, out, form })?,
+        None => {
+            let scenarios = what.scenarios;
+            lab.record_scenarios(&RecordingRun { scenarios, seed, seeds: what.seeds, out, form })?
+        }
+    };
+    recorded.print(json)
+}
+
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).init();
     let line = Line::parse();
@@ -139,6 +182,7 @@
             lab.search(&Search { lasts, seed, out, keep })?.print(json)
         }
         Command::Replay { file } => lab.replay(&file)?.print(json),
+        Command::Record(what) => record(lab, what, json),
         Command::Report { folder, to } => {
             let to = to.unwrap_or_else(|| folder.join("report.html"));
             let plots = reeddock_lab::page(&folder, &to)?;
--- /dev/null
+++ b/crates/lab/src/record.rs
@@ -0,0 +1,354 @@
+//! Recordings of the decision module, of scenarios in the emulator and of random event streams, and their
+//! comparison.
+
+use std::collections::BTreeSet;
+use std::fs::{self, File};
+use std::io::BufWriter;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use comfy_table::presets::NOTHING;
+use comfy_table::Table;
+use rayon::prelude::*;
+use reeddock::{DispatchNo, EnvelopeId, Host, Listing, Outcome, Past, PeerId, TargetId};
+use reeddock_emulator::policy::{HandIn, ListLine, Policy, Sight};
+use reeddock_emulator::{run_with, Known, Scenario};
+use reeddock_recorder::compare::{compare, Difference, Pair, Verdict};
+use reeddock_recorder::line::Input;
+use reeddock_recorder::recording::locked;
+use reeddock_recorder::{streams, Form, Recording, Summary, Tape, Tee};
+use serde::Serialize;
+
+use crate::runs::progress;
+use crate::{Fault, Lab};
+
+/// Streams in one recording, so that thousands of them are few files.
+const STREAMS_IN_A_FILE: u64 = 100;
+/// Most recordings of one command.
+const MOST_FILES: u64 = 10_000;
+
+/// Scenarios to be recorded.
+pub struct RecordingRun {
+    pub scenarios: Vec<PathBuf>,
+    /// The first seed, and how many there are of each scenario.
+    pub seed: u64,
+    pub seeds: u64,
+    pub out: PathBuf,
+    pub form: Form,
+}
+
+/// Random event streams to be recorded.
+pub struct StreamRun {
+    pub count: u64,
+    /// The seed of the first stream; each has the next one.
+    pub seed: u64,
+    pub out: PathBuf,
+    pub form: Form,
+}
+
+/// One file that was written.
+#[derive(Clone, Debug, Serialize)]
+pub struct RecordedFile {
+    pub file: String,
+    pub lines: u64,
+    /// SHA-256 of all its lines; the same for lines and for digests.
+    pub digest: String,
+}
+
+/// What was recorded.
+#[derive(Debug, Serialize)]
+pub struct Recorded {
+    pub files: Vec<RecordedFile>,
+}
+
+/// What a comparison of two folders found.
+pub struct Compared(Vec<Pair>);
+
+/// The module, recorded as the emulator tells it and as it answers.
+struct RecordedPolicy {
+    module: Box<dyn Policy>,
+    tape: Tape,
+}
+
+impl RecordedPolicy {
+    /// Notes a call, and has it made with a host that notes each request.
+    fn call(&mut self, input: Input, host: &mut dyn Host, call: impl FnOnce(&mut dyn Policy, &mut dyn Host)) {
+        self.tape.note(input);
+        call(self.module.as_mut(), &mut Tee { tape: &self.tape, host });
+    }
+}
+
+impl Policy for RecordedPolicy {
+    fn list(&mut self, now: Duration, whole: bool, lines: &[ListLine], host: &mut dyn Host) {
+        self.tape.note(Input::ListBegins { whole });
+        for line in lines {
+            self.tape.note(Input::Listed(&Listing {
+                target: line.target,
+                destination: line.destination,
+                standing: line.standing,
+                weight: line.weight,
+                zone: &line.zone,
+                kind: &line.kind,
+            }));
+        }
+        self.call(Input::ListEnds, host, |module, host| module.list(now, whole, lines, host));
+    }
+
+    fn hand_in(&mut self, now: Duration, e: &HandIn, host: &mut dyn Host) {
+        let input = Input::HandIn {
+            now,
+            id: &e.id,
+            category: &e.category,
+            tenant: Some(&e.program),
+            key: e.key,
+            outer_limit: e.outer_limit,
+            destination: e.destination,
+        };
+        self.call(input, host, |module, host| module.hand_in(now, e, host));
+    }
+
+    fn recall(&mut self, now: Duration, id: &EnvelopeId, past: &[Past], host: &mut dyn Host) {
+        let input = Input::Recall { now, id, past };
+        self.call(input, host, |module, host| module.recall(now, id, past, host));
+    }
+
+    fn settled(
+        &mut self,
+        now: Duration,
+        id: &EnvelopeId,
+        no: DispatchNo,
+        outcome: Outcome,
+        over: bool,
+        host: &mut dyn Host,
+    ) {
+        let input = Input::Settled { now, id, no, outcome, over };
+        self.call(input, host, |module, host| module.settled(now, id, no, outcome, over, host));
+    }
+
+    fn withdrawn(&mut self, id: &EnvelopeId, host: &mut dyn Host) {
+        self.call(Input::Withdrawn { id }, host, |module, host| module.withdrawn(id, host));
+    }
+
+    fn alarm(&mut self, now: Duration) {
+        self.tape.note(Input::Alarm { now });
+        self.module.alarm(now);
+    }
+
+    fn probed(&mut self, now: Duration, target: TargetId, well: bool) {
+        self.tape.note(Input::Probed { now, target, well });
+        self.module.probed(now, target, well);
+    }
+
+    fn told(&mut self, now: Duration, from: PeerId, note: &[u8]) {
+        self.tape.note(Input::Told { now, from, note });
+        self.module.told(now, from, note);
+    }
+
+    fn turn(&mut self, now: Duration, sight: &dyn Sight, host: &mut dyn Host) {
+        self.call(Input::Turn { now }, host, |module, host| module.turn(now, sight, host));
+    }
+}
+
+/// A recording that goes into a new file.
+struct NewFile {
+    name: String,
+    path: PathBuf,
+    recording: Arc<Mutex<Recording>>,
+}
+
+impl NewFile {
+    fn create(folder: &Path, stem: &str, form: Form) -> Result<NewFile, Fault> {
+        let name = format!("{stem}.{}", form.extension());
+        let path = folder.join(&name);
+        let file = File::create_new(&path)
+            .map_err(|e| Fault::line(format!("{}: cannot be created: {e}", path.display())))?;
+        let recording = Recording::new(Box::new(BufWriter::new(file)), form);
+        Ok(NewFile { name, path, recording: Arc::new(Mutex::new(recording)) })
+    }
+
+    fn finish(self) -> Result<RecordedFile, Fault> {
+        let Summary { lines, digest } = locked(&self.recording)
+            .finish()
+            .map_err(|e| Fault::line(format!("{}: cannot be written: {e}", self.path.display())))?;
+        Ok(RecordedFile { file: self.name, lines, digest })
+    }
+}
+
+fn create_folder(folder: &Path) -> Result<(), Fault> {
+    fs::create_dir_all(folder)
+        .map_err(|e| Fault::line(format!("{}: cannot be created: {e}", folder.display())))
+}
+
+/// Plays one day of a scenario. Forwarders are numbered in the order of their starts: one that starts again gets
+/// a new number.
+fn record_day(scenario: &Scenario, seed: u64, file: &NewFile) {
+    let starts = AtomicU64::new(0);
+    run_with(scenario, seed, Known::Module.name(), &|now, terms, host| {
+        let number = starts.fetch_add(1, Ordering::Relaxed);
+        let tape = Tape::new(Arc::clone(&file.recording), number);
+        tape.note(Input::Open { now, terms: &terms });
+        let module = Known::Module.open(now, terms, &mut Tee { tape: &tape, host });
+        Box::new(RecordedPolicy { module, tape })
+    });
+}
+
+fn checked_count(count: u64, what: &str, files: u64) -> Result<(), Fault> {
+    if count == 0 || files > MOST_FILES {
+        let expected = format!("expected 1 or more, and {MOST_FILES} recordings at most");
+        return Err(Fault::line(format!("{what} {count}: {expected}")));
+    }
+    Ok(())
+}
+
+/// Scenarios by the stem of their files, which names the recordings.
+fn read_scenarios(files: &[PathBuf]) -> Result<Vec<(String, Scenario)>, Fault> {
+    let mut stems = BTreeSet::new();
+    let mut scenarios = Vec::new();
+    for file in files {
+        let stem = file.file_stem().unwrap_or_default().to_string_lossy().into_owned();
+        if !stems.insert(stem.clone()) {
+            let what = "expected scenarios of different names";
+            return Err(Fault::line(format!("{}: named twice: {what}", file.display())));
+        }
+        scenarios.push((stem, Scenario::read(file)?));
+    }
+    Ok(scenarios)
+}
+
+impl Lab {
+    /// Records days of scenarios, each into a file of its own.
+    ///
+    /// # Errors
+    ///
+    /// A scenario that can't be read, no scenarios or seeds, or a file that is there already or can't be written.
+    pub fn record_scenarios(&self, what: &RecordingRun) -> Result<Recorded, Fault> {
+        if what.scenarios.is_empty() {
+            return Err(Fault::line(
+                "nothing to record: expected scenarios, --streams COUNT or --compare A B",
+            ));
+        }
+        checked_count(what.seeds, "--seeds", what.seeds.saturating_mul(what.scenarios.len() as u64))?;
+        let scenarios = read_scenarios(&what.scenarios)?;
+        create_folder(&what.out)?;
+        let mut days = Vec::new();
+        for (stem, scenario) in &scenarios {
+            for seed in (0..what.seeds).map(|n| what.seed.saturating_add(n)) {
+                days.push((format!("{stem}.seed-{seed}"), scenario, seed));
+            }
+        }
+        self.write_all(&days, |(stem, scenario, seed)| {
+            let file = NewFile::create(&what.out, stem, what.form)?;
+            record_day(scenario, *seed, &file);
+            file.finish()
+        })
+    }
+
+    /// Records random event streams, a hundred in a file.
+    ///
+    /// # Errors
+    ///
+    /// No streams, or a file that is there already or can't be written.
+    pub fn record_streams(&self, what: &StreamRun) -> Result<Recorded, Fault> {
+        checked_count(what.count, "--streams", what.count.div_ceil(STREAMS_IN_A_FILE))?;
+        create_folder(&what.out)?;
+        let end = what.seed.saturating_add(what.count);
+        let firsts: Vec<u64> = (what.seed..end).step_by(STREAMS_IN_A_FILE as usize).collect();
+        self.write_all(&firsts, |first| {
+            let last = end.min(first + STREAMS_IN_A_FILE) - 1;
+            let file = NewFile::create(&what.out, &format!("streams-{first:08}-{last:08}"), what.form)?;
+            (*first..=last).for_each(|seed| streams::play(seed, &file.recording));
+            file.finish()
+        })
+    }
+
+    /// Writes one file for each of these, on all threads; they are named in this order.
+    fn write_all<T: Sync>(
+        &self,
+        parts: &[T],
+        write: impl Fn(&T) -> Result<RecordedFile, Fault> + Sync,
+    ) -> Result<Recorded, Fault> {
+        let bar = progress(parts.len() as u64, "recordings");
+        let one = |part: &T| {
+            let file = write(part);
+            bar.inc(1);
+            file
+        };
+        let files = self.pool().install(|| parts.par_iter().map(one).collect::<Result<_, _>>());
+        bar.finish_and_clear();
+        Ok(Recorded { files: files? })
+    }
+}
+
+impl Recorded {
+    /// Prints a table, or JSON.
+    ///
+    /// # Errors
+    ///
+    /// None but of the JSON writer.
+    pub fn print(&self, json: bool) -> Result<ExitCode, Fault> {
+        if json {
+            println!("{}", serde_json::to_string(self).map_err(Fault::line)?);
+            return Ok(ExitCode::SUCCESS);
+        }
+        let mut table = Table::new();
+        table.load_preset(NOTHING).set_header(["file", "lines", "digest"]);
+        for file in &self.files {
+            table.add_row([file.file.clone(), file.lines.to_string(), file.digest[..16].to_owned()]);
+        }
+        println!("{table}");
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+/// Compares two folders of recordings.
+///
+/// # Errors
+///
+/// A folder or file that can't be read, or holds no recordings.
+pub fn compare_recordings(left: &Path, right: &Path) -> Result<Compared, Fault> {
+    compare(left, right).map(Compared).map_err(Fault::line)
+}
+
+fn shown(difference: &Difference) -> String {
+    let mut text = format!("DIFFERS at line {}, forwarder {}\n", difference.line, difference.forwarder);
+    for (mark, lines) in [("  ", &difference.before), ("A ", &difference.left), ("B ", &difference.right)] {
+        lines.iter().for_each(|line| text += &format!("  {mark}{line}\n"));
+        if lines.is_empty() && mark != "  " {
+            text += &format!("  {mark}(has ended)\n");
+        }
+    }
+    text
+}
+
+impl Compared {
+    /// Prints a line or more for each pair. The exit code is 1 where any differs.
+    ///
+    /// # Errors
+    ///
+    /// None but of the JSON writer.
+    pub fn print(&self, json: bool) -> Result<ExitCode, Fault> {
+        let equal = self.0.iter().filter(|p| matches!(p.verdict, Verdict::Equal { .. })).count();
+        let all = self.0.len();
+        if json {
+            let differing = |p: &&Pair| !matches!(p.verdict, Verdict::Equal { .. });
+            let names: Vec<&str> = self.0.iter().filter(differing).map(|p| p.name.as_str()).collect();
+            println!("{}", serde_json::json!({ "pairs": all, "equal": equal, "different": names }));
+        } else {
+            self.0.iter().for_each(|pair| println!("{}: {}", pair.name, told(&pair.verdict)));
+            println!("{equal} of {all} equal");
+        }
+        Ok(ExitCode::from(u8::from(equal < all)))
+    }
+}
+
+fn told(verdict: &Verdict) -> String {
+    match verdict {
+        Verdict::Equal { lines } => format!("equal, {lines} lines"),
+        Verdict::Differs(difference) => shown(difference),
+        Verdict::OnlyLeft => "only in A".to_owned(),
+        Verdict::OnlyRight => "only in B".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/recorder/src/streams/listing.rs
@@ -0,0 +1,200 @@
+//! The targets of a stream: what the list says of each, and how each answers at the time.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::RngExt;
+use rand_pcg::Pcg32;
+use reeddock::{DestinationId, Outcome, Standing, TargetId};
+
+use super::setting::{millis, Setting, ZONES};
+
+/// One line of the list.
+#[derive(Clone, Debug)]
+pub struct Line {
+    pub destination: DestinationId,
+    pub standing: Standing,
+    pub weight: Option<f64>,
+    pub zone: &'static str,
+    pub kind: String,
+}
+
+/// How a target answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mood {
+    Well,
+    Slow,
+    Refusing,
+    RefusingWithWaits,
+    Failing,
+    Silent,
+    Unreachable,
+    Erratic,
+}
+
+const TROUBLES: [Mood; 7] = [
+    Mood::Slow,
+    Mood::Refusing,
+    Mood::RefusingWithWaits,
+    Mood::Failing,
+    Mood::Silent,
+    Mood::Unreachable,
+    Mood::Erratic,
+];
+
+/// The list as it stands, whoever was told so yet.
+pub struct Targets {
+    pub lines: BTreeMap<TargetId, Line>,
+    moods: BTreeMap<TargetId, Mood>,
+    next: u32,
+}
+
+impl Targets {
+    pub fn draw(setting: &Setting, chance: &mut Pcg32) -> Targets {
+        let mut targets = Targets { lines: BTreeMap::new(), moods: BTreeMap::new(), next: 1 };
+        for _ in 0..setting.targets {
+            targets.add(setting, chance);
+        }
+        targets
+    }
+
+    /// Adds a target under a number that none had.
+    pub fn add(&mut self, setting: &Setting, chance: &mut Pcg32) -> TargetId {
+        let id = TargetId(self.next);
+        self.next += 1;
+        // Each destination has one before any has two.
+        let turn = u64::from(id.0) - 1;
+        let destination =
+            if turn < setting.destinations { turn } else { chance.random_range(0..setting.destinations) };
+        let line = Line {
+            destination: DestinationId(destination + 1),
+            standing: Standing::Active,
+            weight: weight(chance),
+            zone: ZONES.choose(chance).copied().unwrap_or(ZONES[0]),
+            kind: kind(setting, destination, chance),
+        };
+        self.lines.insert(id, line);
+        id
+    }
+
+    pub fn any(&self, chance: &mut Pcg32) -> Option<TargetId> {
+        let at = chance.random_range(0..self.lines.len().max(1));
+        self.lines.keys().nth(at).copied()
+    }
+
+    /// Changes one line, or adds one; says which.
+    pub fn change(&mut self, setting: &Setting, chance: &mut Pcg32) -> TargetId {
+        let known = self.any(chance).filter(|_| chance.random_bool(0.85));
+        let Some(id) = known else { return self.add(setting, chance) };
+        let Some(line) = self.lines.get_mut(&id) else { return id };
+        match chance.random_range(0..10_u32) {
+            0..=2 => line.standing = Standing::Gone,
+            3..=4 => line.standing = Standing::Leaving,
+            5..=6 => line.standing = Standing::Active,
+            7 => line.weight = weight(chance),
+            8 => line.zone = ZONES.choose(chance).copied().unwrap_or(ZONES[0]),
+            // A target that moves to another destination.
+            _ => line.destination = DestinationId(chance.random_range(1..=setting.destinations)),
+        }
+        id
+    }
+
+    /// Takes most targets off the list.
+    pub fn drop_most(&mut self, chance: &mut Pcg32) {
+        let kept = chance.random_range(0.0..0.3);
+        self.lines.retain(|_, _| chance.random_bool(kept));
+    }
+
+    /// Troubles begin or end at one target, or at all of its destination.
+    pub fn change_moods(&mut self, chance: &mut Pcg32) {
+        let Some(id) = self.any(chance) else { return };
+        let mood = TROUBLES.choose(chance).copied().filter(|_| chance.random_bool(0.6)).unwrap_or(Mood::Well);
+        let destination = self.lines[&id].destination;
+        let whole = chance.random_bool(0.6);
+        for (other, line) in &self.lines {
+            if *other == id || whole && line.destination == destination {
+                self.moods.insert(*other, mood);
+            }
+        }
+    }
+
+    /// How a call that is sent now ends, and after what time.
+    pub fn answer(&self, target: TargetId, time_out: Duration, chance: &mut Pcg32) -> (Outcome, Duration) {
+        let mood = self.moods.get(&target).copied().unwrap_or(Mood::Well);
+        let (outcome, after) = drawn_answer(mood, time_out, chance);
+        if after >= time_out {
+            (Outcome::TimedOut, time_out)
+        } else {
+            (outcome, after)
+        }
+    }
+}
+
+fn weight(chance: &mut Pcg32) -> Option<f64> {
+    match chance.random_range(0..10_u32) {
+        0 => None,
+        // Figures that no list should have.
+        1 => [f64::NAN, f64::INFINITY, 0.0, -1.0, 1e-9, 1e12].choose(chance).copied(),
+        2..=5 => Some(f64::from(chance.random_range(1_u32..40))),
+        _ => Some(chance.random_range(0.1..200.0)),
+    }
+}
+
+/// The targets of a destination are usually of one kind; seldom of one that nobody knows.
+fn kind(setting: &Setting, destination: u64, chance: &mut Pcg32) -> String {
+    if chance.random_bool(0.03) {
+        return "unknown".to_owned();
+    }
+    let usual = destination as usize % setting.kinds.len();
+    let number = if chance.random_bool(0.95) { usual } else { chance.random_range(0..setting.kinds.len()) };
+    setting.kinds[number].clone()
+}
+
+fn drawn_answer(mood: Mood, time_out: Duration, chance: &mut Pcg32) -> (Outcome, Duration) {
+    match mood {
+        Mood::Well => (usual_outcome(chance), millis(chance, 2, 150)),
+        Mood::Slow => (Outcome::Completed, time_out.mul_f64(chance.random_range(0.2..1.3))),
+        Mood::Refusing => (Outcome::Full(None), millis(chance, 1, 20)),
+        Mood::RefusingWithWaits => (Outcome::Full(Some(wait(chance))), millis(chance, 1, 20)),
+        Mood::Failing if chance.random_bool(0.5) => (Outcome::Error, millis(chance, 1, 60)),
+        Mood::Failing => (Outcome::Broken, millis(chance, 1, 400)),
+        Mood::Silent => (Outcome::TimedOut, time_out),
+        Mood::Unreachable => (Outcome::NoConnection, millis(chance, 0, 1_000)),
+        Mood::Erratic => (any_outcome(chance), millis(chance, 0, 500)),
+    }
+}
+
+fn usual_outcome(chance: &mut Pcg32) -> Outcome {
+    match chance.random_range(0..100_u32) {
+        0..=2 => Outcome::Error,
+        3 => Outcome::Unreadable,
+        4 => Outcome::Unsent,
+        5..=6 => Outcome::Full(chance.random_bool(0.5).then(|| wait(chance))),
+        _ => Outcome::Completed,
+    }
+}
+
+pub fn any_outcome(chance: &mut Pcg32) -> Outcome {
+    match chance.random_range(0..10_u32) {
+        0..=1 => Outcome::Completed,
+        2 => Outcome::Error,
+        3 => Outcome::Full(None),
+        4 => Outcome::Full(Some(wait(chance))),
+        5 => Outcome::TimedOut,
+        6 => Outcome::NoConnection,
+        7 => Outcome::Broken,
+        8 => Outcome::Unsent,
+        _ => Outcome::Unreadable,
+    }
+}
+
+/// A wait that a destination asks for, from none to one past most limits.
+pub fn wait(chance: &mut Pcg32) -> Duration {
+    match chance.random_range(0..10_u32) {
+        0 => Duration::ZERO,
+        1..=4 => millis(chance, 10, 900),
+        5..=8 => millis(chance, 1_000, 5_000),
+        _ => millis(chance, 20_000, 60_000),
+    }
+}
--- /dev/null
+++ b/crates/recorder/src/streams/player.rs
@@ -0,0 +1,503 @@
+//! Plays the steps of a stream: time goes on, events come in a drawn order, and the module takes its turn.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use reeddock::{
+    CallNo, DestinationId, DispatchNo, EnvelopeId, Host, KeyId, LimitReport, Listing, Outcome, Past, PeerId,
+    Spans, TargetId,
+};
+
+use super::listing::{wait, Line, Targets};
+use super::setting::{millis, Setting, KEYS};
+use crate::recording::Tape;
+use crate::tee::{HandIn, RecordedForwarder};
+
+/// A wake comes late by no more than a host's timer is, and may come this early, as timers round down.
+const EARLY: Duration = Duration::from_micros(600);
+const HOUR: Duration = Duration::from_secs(3_600);
+/// Most lines of a list that are told in one step, where it is told in pieces.
+const PIECE: usize = 40;
+
+/// What the module asked for, for the player to act upon.
+enum Asked {
+    Dispatch(EnvelopeId, TargetId, Spans),
+    CallOff(EnvelopeId, DispatchNo),
+    Answered(EnvelopeId),
+    Wake(Duration),
+    Subscribe,
+}
+
+#[derive(Default)]
+struct Requests(Vec<Asked>);
+
+impl Host for Requests {
+    fn dispatch(&mut self, envelope: &EnvelopeId, target: TargetId, spans: Spans) {
+        self.0.push(Asked::Dispatch(envelope.clone(), target, spans));
+    }
+    fn call_off(&mut self, envelope: &EnvelopeId, dispatch: DispatchNo) {
+        self.0.push(Asked::CallOff(envelope.clone(), dispatch));
+    }
+    fn shed(&mut self, envelope: &EnvelopeId, _: Option<Duration>) {
+        self.0.push(Asked::Answered(envelope.clone()));
+    }
+    fn break_off(&mut self, envelope: &EnvelopeId) {
+        self.0.push(Asked::Answered(envelope.clone()));
+    }
+    fn wake(&mut self, after: Duration) {
+        self.0.push(Asked::Wake(after));
+    }
+    fn probe(&mut self, _: TargetId) {}
+    fn tell(&mut self, _: Option<PeerId>, _: &[u8]) {}
+    fn subscribe(&mut self, _: bool) {
+        self.0.push(Asked::Subscribe);
+    }
+    fn fetch_list(&mut self) {}
+    fn log(&mut self, _: &str) {}
+}
+
+/// A dispatch that has no outcome yet.
+struct Out {
+    id: EnvelopeId,
+    no: DispatchNo,
+    target: TargetId,
+    call: CallNo,
+    due: Duration,
+    outcome: Outcome,
+}
+
+/// A list that is being told in pieces.
+struct Telling {
+    lines: VecDeque<(TargetId, Line)>,
+    /// The connection is lost before its end.
+    breaks: bool,
+}
+
+pub struct Player {
+    chance: Pcg32,
+    setting: Setting,
+    now: Duration,
+    module: RecordedForwarder,
+    requests: Requests,
+    targets: Targets,
+    telling: Option<Telling>,
+    /// When discovery is expected to answer a call for the list.
+    list_due: Option<Duration>,
+    /// Envelopes without a final answer, with the dispatches made for each.
+    open: BTreeMap<EnvelopeId, u32>,
+    /// In the order in which they were sent.
+    out: Vec<Out>,
+    alarms: BTreeSet<Duration>,
+    handed_in: u64,
+}
+
+impl Player {
+    pub fn open(seed: u64, tape: Tape) -> Player {
+        let mut chance = Pcg32::seed_from_u64(seed);
+        let (setting, terms) = Setting::draw(&mut chance);
+        let targets = Targets::draw(&setting, &mut chance);
+        let mut requests = Requests::default();
+        let now = if chance.random_bool(0.3) { Duration::ZERO } else { millis(&mut chance, 1, 100_000) };
+        let module = RecordedForwarder::open(now, terms, tape, &mut requests);
+        let mut player = Player {
+            chance,
+            setting,
+            now,
+            module,
+            requests,
+            targets,
+            telling: None,
+            list_due: None,
+            open: BTreeMap::new(),
+            out: Vec::new(),
+            alarms: BTreeSet::new(),
+            handed_in: 0,
+        };
+        player.carry_out();
+        player
+    }
+
+    pub fn play(mut self, most_steps: usize) {
+        let steps = self.setting.steps;
+        // The list may come after the first envelopes.
+        let list_at = if self.one_in(4) { self.below(12) } else { 0 };
+        let leaves_at = if self.one_in(6) { steps * 3 / 4 } else { usize::MAX };
+        for step in 0..steps.min(most_steps) {
+            if step == list_at {
+                self.begin_list(true, false);
+            }
+            if step == 1 && self.one_in(2) {
+                self.recall_some();
+            }
+            if step == leaves_at {
+                let by = self.now + millis(&mut self.chance, 0, 20_000);
+                self.module.leaving(by);
+            }
+            self.step();
+        }
+    }
+
+    // # Chance.
+
+    fn one_in(&mut self, cases: u32) -> bool {
+        self.chance.random_ratio(1, cases)
+    }
+
+    fn below(&mut self, end: usize) -> usize {
+        self.chance.random_range(0..end.max(1))
+    }
+
+    // # Steps.
+
+    fn step(&mut self) {
+        self.pass_time();
+        self.sound_alarms();
+        self.settle_due();
+        self.speak_of_waits();
+        self.tell_list();
+        self.hand_in_some();
+        self.withdraw_some();
+        if self.one_in(8) {
+            self.targets.change_moods(&mut self.chance);
+        }
+        self.ask_module();
+        self.module.turn(self.now, &mut self.requests);
+        self.carry_out();
+    }
+
+    fn pass_time(&mut self) {
+        let drawn = match self.chance.random_range(0..1_000_u32) {
+            0..=149 => Duration::ZERO,
+            150..=919 => millis(&mut self.chance, 1, 100),
+            920..=996 => millis(&mut self.chance, 1_000, 8_000),
+            _ => HOUR,
+        };
+        let odd = Duration::from_nanos(self.chance.random_range(0..1_000_000));
+        let to = self.now + drawn + if self.setting.whole_milliseconds { Duration::ZERO } else { odd };
+        // A machine that stood still misses its alarms; any other wakes at the first of them.
+        let first = self.alarms.first().copied().filter(|_| drawn < HOUR);
+        let early = if self.one_in(4) { EARLY } else { Duration::ZERO };
+        let wakes = first.map(|at| at.saturating_sub(early).max(self.now));
+        self.now = wakes.map_or(to, |at| at.min(to));
+    }
+
+    fn sound_alarms(&mut self) {
+        while let Some(at) = self.alarms.first().copied().filter(|at| *at <= self.now + EARLY) {
+            self.alarms.remove(&at);
+            self.module.alarm(self.now);
+        }
+    }
+
+    // # Outcomes.
+
+    fn settle_due(&mut self) {
+        let (mut due, out): (Vec<Out>, Vec<Out>) =
+            std::mem::take(&mut self.out).into_iter().partition(|o| o.due <= self.now);
+        self.out = out;
+        due.sort_by_key(|o| o.due);
+        for ended in due {
+            self.settle(ended);
+        }
+    }
+
+    fn settle(&mut self, ended: Out) {
+        let answered = matches!(ended.outcome, Outcome::Completed | Outcome::Error | Outcome::Full(_));
+        if answered && (self.setting.answers_report || self.one_in(20)) {
+            self.report(ended.target);
+        }
+        let over = ended.outcome == Outcome::Completed || !self.open.contains_key(&ended.id);
+        if over {
+            self.open.remove(&ended.id);
+        }
+        if self.one_in(10) {
+            self.module.note_sent_to(&ended.id, ended.no);
+        }
+        self.module.settled(self.now, &ended.id, ended.no, ended.outcome, over, &mut self.requests);
+        self.carry_out();
+        if self.one_in(200) {
+            // Told twice, as a host might in a race.
+            self.module.settled(self.now, &ended.id, ended.no, ended.outcome, true, &mut self.requests);
+            self.carry_out();
+        }
+    }
+
+    fn report(&mut self, target: TargetId) {
+        let left = self.chance.random_range(0.0..1.1);
+        let limit = if self.one_in(5) { 0.0 } else { self.chance.random_range(0.5..80.0) };
+        if let Some(report) = LimitReport::told(Some(left), Some(limit)) {
+            self.module.reported(target, report);
+        }
+    }
+
+    /// An answer that refused nothing asks for a wait all the same.
+    fn speak_of_waits(&mut self) {
+        if !self.one_in(25) {
+            return;
+        }
+        let Some(target) = self.targets.any(&mut self.chance) else { return };
+        let wait = wait(&mut self.chance);
+        self.module.told_to_wait(self.now, target, wait);
+        self.module.note_waits_with(target);
+    }
+
+    // # The list.
+
+    fn tell_list(&mut self) {
+        if self.telling.is_some() {
+            self.tell_piece();
+            return;
+        }
+        if self.list_due.take_if(|at| *at <= self.now).is_some() {
+            if self.one_in(3) {
+                self.module.list_failed(self.now);
+            } else {
+                self.begin_list(true, false);
+            }
+            return;
+        }
+        match self.below(100) {
+            0..=4 => self.begin_list(false, false),
+            5 => self.begin_list(true, false),
+            6 => {
+                self.targets.drop_most(&mut self.chance);
+                self.begin_list(true, false);
+                // What was lost is made up for, partly, by the next list.
+                let added = self.below(self.setting.targets as usize + 1);
+                for _ in 0..added {
+                    self.targets.add(&self.setting, &mut self.chance);
+                }
+            }
+            7..=8 => {
+                let whole = self.one_in(2);
+                self.begin_list(whole, true);
+            }
+            9 => self.module.list_failed(self.now),
+            _ => {}
+        }
+    }
+
+    fn begin_list(&mut self, whole: bool, breaks: bool) {
+        if self.telling.take().is_some() {
+            self.module.list_broken();
+        }
+        let mut lines: VecDeque<(TargetId, Line)> = if whole {
+            self.targets.lines.iter().map(|(id, line)| (*id, line.clone())).collect()
+        } else {
+            let count = 1 + self.below(4);
+            let changed: Vec<TargetId> =
+                (0..count).map(|_| self.targets.change(&self.setting, &mut self.chance)).collect();
+            changed.into_iter().map(|id| (id, self.targets.lines[&id].clone())).collect()
+        };
+        if breaks {
+            let told = self.below(lines.len());
+            lines.truncate(told);
+        }
+        self.module.list_begins(whole);
+        self.telling = Some(Telling { lines, breaks });
+        if !self.one_in(4) {
+            self.tell_rest();
+        }
+    }
+
+    /// One piece of the list that is being told, and its end if that was the last one.
+    fn tell_piece(&mut self) {
+        let count = self.below(PIECE);
+        self.tell_lines(count);
+        if self.telling.as_ref().is_some_and(|t| t.lines.is_empty()) {
+            self.end_list();
+        }
+    }
+
+    fn tell_rest(&mut self) {
+        self.tell_lines(usize::MAX);
+        self.end_list();
+    }
+
+    fn tell_lines(&mut self, most: usize) {
+        let Some(telling) = &mut self.telling else { return };
+        let count = telling.lines.len().min(most);
+        for (target, line) in telling.lines.drain(..count) {
+            self.module.listed(Listing {
+                target,
+                destination: line.destination,
+                standing: line.standing,
+                weight: line.weight,
+                zone: line.zone,
+                kind: &line.kind,
+            });
+        }
+    }
+
+    fn end_list(&mut self) {
+        match self.telling.take() {
+            Some(told) if told.breaks => self.module.list_broken(),
+            Some(_) => self.module.list_ends(),
+            None => {}
+        }
+    }
+
+    // # Envelopes.
+
+    fn hand_in_some(&mut self) {
+        let burst = self.setting.burst as usize;
+        let count = match self.below(100) {
+            0..=39 => 0,
+            40..=94 => self.below(burst + 1),
+            _ => self.below(burst * 12),
+        };
+        // A burst is for one destination.
+        let together = self.any_destination();
+        for _ in 0..count {
+            let destination = if count > burst { together } else { self.any_destination() };
+            let envelope = self.envelope(destination);
+            self.hand_in(&envelope);
+        }
+    }
+
+    /// One that most envelopes are for, or any; seldom one that no list names.
+    fn any_destination(&mut self) -> DestinationId {
+        let all = self.setting.destinations as usize;
+        let number = match self.below(20) {
+            0 => all + self.below(2),
+            1..=8 => 0,
+            _ => self.below(all),
+        };
+        DestinationId(number as u64 + 1)
+    }
+
+    fn envelope(&mut self, destination: DestinationId) -> HandIn {
+        self.handed_in += 1;
+        let number = self.below(self.setting.categories.len());
+        let category = &self.setting.categories[number];
+        let (name, outer_limit, ordered) = (category.name.clone(), category.outer_limit, category.ordered);
+        let strange = self.setting.strange_names && self.one_in(20);
+        // A client's repeat shares the limit of its first hand-in.
+        let gone = if self.one_in(5) {
+            outer_limit.mul_f64(self.chance.random_range(0.0..1.0))
+        } else {
+            Duration::ZERO
+        };
+        let tenant = self.below(self.setting.tenants.len() + 1);
+        HandIn {
+            id: EnvelopeId(Arc::from(format!("e{:06}", self.handed_in))),
+            category: if strange { "unknown".to_owned() } else { name },
+            tenant: self.setting.tenants.get(tenant).cloned(),
+            key: (ordered || self.one_in(10)).then(|| KeyId(self.chance.random_range(0..KEYS))),
+            outer_limit: self.now + (outer_limit - gone),
+            destination,
+        }
+    }
+
+    fn hand_in(&mut self, envelope: &HandIn) {
+        if self.one_in(20) {
+            self.module.note_knows(envelope.destination);
+        }
+        self.open.insert(envelope.id.clone(), 0);
+        self.module.hand_in(self.now, envelope, &mut self.requests);
+        self.carry_out();
+    }
+
+    /// What a ledger kept from before this start.
+    fn recall_some(&mut self) {
+        let count = self.below(12);
+        for _ in 0..count {
+            let destination = self.any_destination();
+            let envelope = self.envelope(destination);
+            self.hand_in(&envelope);
+            if !self.open.contains_key(&envelope.id) {
+                continue;
+            }
+            let past = self.past();
+            self.open.insert(envelope.id.clone(), past.len() as u32);
+            self.module.recall(self.now, &envelope.id, &past, &mut self.requests);
+            self.carry_out();
+        }
+    }
+
+    fn past(&mut self) -> Vec<Past> {
+        let count = self.below(4);
+        let mut past = Vec::new();
+        for _ in 0..count {
+            let ago = millis(&mut self.chance, 0, 6_000);
+            past.push(Past {
+                target: self.targets.any(&mut self.chance).unwrap_or(TargetId(0)),
+                sent: self.now.saturating_sub(ago),
+                never_ran: self.one_in(2),
+            });
+        }
+        past
+    }
+
+    fn withdraw_some(&mut self) {
+        if self.open.is_empty() || !self.one_in(12) {
+            return;
+        }
+        let at = self.below(self.open.len());
+        let Some(id) = self.open.keys().nth(at).cloned() else { return };
+        self.open.remove(&id);
+        self.module.end(&id, &mut self.requests);
+        self.carry_out();
+    }
+
+    /// What a host may tell or ask at any time.
+    fn ask_module(&mut self) {
+        match self.below(60) {
+            0 => {
+                let well = self.one_in(2);
+                if let Some(target) = self.targets.any(&mut self.chance) {
+                    self.module.probed(self.now, target, well);
+                }
+            }
+            1 => self.module.told(self.now, PeerId(1), b"note"),
+            _ => {}
+        }
+    }
+
+    // # What the module asked for.
+
+    fn carry_out(&mut self) {
+        for asked in std::mem::take(&mut self.requests.0) {
+            match asked {
+                Asked::Dispatch(id, target, spans) => self.send(id, target, spans),
+                Asked::CallOff(id, no) => self.call_off(&id, no),
+                Asked::Answered(id) => drop(self.open.remove(&id)),
+                Asked::Wake(after) => drop(self.alarms.insert(self.now + after)),
+                Asked::Subscribe => {
+                    let due = self.now + millis(&mut self.chance, 1, 2_000);
+                    self.list_due = Some(due);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, id: EnvelopeId, target: TargetId, spans: Spans) {
+        let Some(dispatches) = self.open.get_mut(&id) else { return };
+        let no = DispatchNo(*dispatches);
+        *dispatches += 1;
+        let (outcome, after) = self.targets.answer(target, spans.time_out, &mut self.chance);
+        let mut due = self.now + after;
+        let mut ends_as = outcome;
+        // What travels together mostly ends together.
+        let companion = self.out.iter().rfind(|o| o.call == spans.call);
+        if let Some((companion_due, companion_outcome)) = companion.map(|c| (c.due, c.outcome)) {
+            if !self.one_in(6) {
+                (due, ends_as) = (companion_due, companion_outcome);
+            }
+        }
+        self.out.push(Out { id, no, target, call: spans.call, due, outcome: ends_as });
+    }
+
+    /// Ends shortly after, unless its answer is on its way.
+    fn call_off(&mut self, id: &EnvelopeId, no: DispatchNo) {
+        let late = self.one_in(10);
+        let due = self.now + millis(&mut self.chance, 0, 5);
+        let Some(out) = self.out.iter_mut().find(|o| o.id == *id && o.no == no) else { return };
+        out.due = due;
+        if !late {
+            out.outcome = Outcome::CalledOff;
+        }
+    }
+}
