Held envelopes are indexed, and a turn walks neither them nor the list

Cause: a turn walked every target (forget_gone), every held envelope (waited, answer_hopeless, ranked) and every key, and sorted all waiting destinations anew for each slot; with 320,000 targets and 1.2 million held one took 1.6 s. Change: envelopes are interned to slot-map keys at the interface. Held ones stand in classes by promise, with indices over all lines for the next end, the least worth and the next wake; a destination whose targets all wait for a time or an event is asked again only then. Targets that were only listed cost one small record; what calls show of one stands apart and is forgotten after ten outer limits without use, by deadline. Debug builds compare each index with a full walk. Decisions that differ, all meant: waits that only an event changes are asked for before turns by rate (other wakes alone); a destination that could not go is not asked again in the same turn (fewer draws of the order of categories); holds ask for a wake only where slots were left; in a full room, of late envelopes the first promise goes, of the others the last promised of the longest line; at most 1,000 gone targets are forgotten in a turn; unused circuits are forgotten.

--- a/src/control.rs
+++ b/src/control.rs
@@ -8,15 +8,20 @@
 //! The argument from top to bottom: the rate card, the circuit of each route, the guards around it, choice of
 //! target, taking turns, what follows an outcome, final answers, and what the host tells.
 
-use std::collections::BTreeMap;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
+use itertools::Itertools;
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
+use crate::backlog::{Class, Run};
+use crate::envelopes::EnvelopeKey;
 use crate::host::*;
 use crate::state::*;
+use crate::targets::Target;
 
 /// Most failure times kept for a route.
 const FAILURES_KEPT: usize = 5;
@@ -74,7 +79,9 @@
 /// long line gets no more than any other. A slow one does not get all, and others fill their calls meanwhile.
 const LINE_WAITS: f64 = 0.1;
 /// Shortest wake that is asked for.
-const LEAST_WAKE: Duration = Duration::from_millis(1);
+pub(crate) const LEAST_WAKE: Duration = Duration::from_millis(1);
+/// What was not used for so many times as long as any envelope lasts is forgotten.
+const IDLE_KEPT: u32 = 10;
 /// Least time in which an answer is still looked for.
 const LAST_MOMENT: Duration = Duration::from_millis(10);
 /// A log line at most so often.
@@ -116,6 +123,7 @@
             tenants: terms.tenants.into_iter().map(|(n, r)| (n, finite(r, f64::MAX))).collect(),
             zone: terms.zone,
             forwarders: terms.forwarders.unwrap_or(1).max(1) as f64,
+            first_credit: (EARNED_FIRST / terms.forwarders.unwrap_or(1).max(1) as f64).min(EARNED_MOST),
             many: terms.forwarders.unwrap_or(1) > terms.slots.unwrap_or(u64::MAX),
             slots: terms.slots.unwrap_or(u64::MAX).min(1 << 20) as usize,
             room: terms.room.unwrap_or(u64::MAX).clamp(2, 1 << 30) as usize,
@@ -153,8 +161,10 @@
 enum Leave {
     Send,
     Trial,
-    /// Not before this time; none: not before something else ends.
+    /// Not before this time, and not before an event of the route; none: the latter alone.
     Hold(Option<Duration>),
+    /// Not before this time as things stand, which may change by time alone.
+    Pace(Option<Duration>),
 }
 
 impl Circuit {
@@ -217,18 +227,18 @@
     /// however unevenly the traffic is spread over them.
     fn usual_rate(&self, target: &Target, now: Duration) -> f64 {
         let Some(d) = self.destinations.get(&target.destination) else { return 0.0 };
-        let elapsed = now.saturating_sub(d.first_seen).max(self.card.warm_within).as_secs_f64();
+        let elapsed = now.saturating_sub(d.traffic().first_seen).max(self.card.warm_within).as_secs_f64();
         let targets = self.active(target.destination).count().max(1) as f64;
-        let seen = d.arrivals as f64 / elapsed / targets;
+        let seen = d.traffic().arrivals as f64 / elapsed / targets;
         // A listed rate may be half too high; capacity lies over it, and a small sample errs by more.
         let sharing = if self.apart(target) { 1.0 } else { targets };
         self.rate(target).map_or(seen, |w| seen.max(w / self.card.forwarders / sharing))
     }
 
     /// Calls a second that a target's route takes from all: as listed, or less if it tells so.
-    fn rate(&self, target: &Target) -> Option<f64> {
-        let listed = target.weight.filter(|_| self.card.overlisted.is_some())?;
-        Some(target.limit.map_or(listed, |limit| listed.min(limit)))
+    pub(crate) fn rate(&self, target: &Target) -> Option<f64> {
+        let listed = target.weight().filter(|_| self.card.overlisted.is_some())?;
+        Some(target.usage().limit.map_or(listed, |limit| listed.min(limit)))
     }
 
     /// Calls a second to a route that are this forwarder's part of what it takes.
@@ -240,7 +250,7 @@
         // nothing of that.
         let span = self.card.warm_within / 2;
         let lately = self.destinations.get(&target.destination);
-        let lately = lately.map_or(0.0, |d| (d.lately_at(now, span) - 1.0).max(0.0));
+        let lately = lately.map_or(0.0, |d| (d.traffic().lately_at(now, span) - 1.0).max(0.0));
         let lately = lately / span.as_secs_f64().max(0.001) * members / sharing;
         let part = match self.rate(target).filter(|_| self.listed_full(target)) {
             Some(calls) => (calls / self.card.forwarders).max(lately / self.batch(target) as f64),
@@ -249,16 +259,11 @@
         part.max(0.001)
     }
 
-    /// Whether the list tells how many calls with many envelopes a route takes.
-    fn listed_full(&self, target: &Target) -> bool {
-        self.apart(target) && self.batch(target) > 1 && self.rate(target).is_some()
-    }
-
     /// Guard for rule 4. Symptom: a target that failed calls, or refused all, may be on its way back, and
     /// cold. Also covers one that fails on part of its calls. It can harm one that was never cold, by pacing
     /// it for some seconds after a time-out.
     fn push_room(&self, route: Route, target: &Target, now: Duration) -> Result<f64, Duration> {
-        let Some(trouble) = target.trouble else { return Ok(f64::MAX) };
+        let Some(trouble) = target.usage().trouble else { return Ok(f64::MAX) };
         let card = &self.card;
         // The middle of the span that the budget is counted over. What has not answered many forwarders may
         // still be down, and sooner calls of each would push it over.
@@ -273,7 +278,7 @@
         let usual = self.usual_rate(target, now);
         let per_second = PUSH_OF_USUAL * card.fall_multiple * share * usual;
         // One's part is few calls for each span, so that they are spaced and not counted.
-        let next = target.pushes.back().map(|p| p.0 + seconds(p.1 / per_second.max(0.01)));
+        let next = target.usage().pushes.back().map(|p| p.0 + seconds(p.1 / per_second.max(0.01)));
         let budget = (per_second * card.tip_after.as_secs_f64()).max(1.0);
         next.filter(|at| now < *at).map_or(Ok(budget), Err)
     }
@@ -293,7 +298,7 @@
     /// How long no answer may come before the route counts as silent: the more calls are out, the sooner.
     fn overdue_after(&self, circuit: &Circuit) -> Duration {
         let mean = circuit.mean.or(self.pace).unwrap_or(self.card.recovery_delay.as_secs_f64() / 2.0);
-        seconds(mean * (OVERDUE_MEANS + OVERDUE_SHARED / circuit.calls_out.max(1) as f64))
+        seconds(mean * (OVERDUE_MEANS + OVERDUE_SHARED / circuit.out.len().max(1) as f64))
             .max(self.card.recovery_delay / 4)
     }
 
@@ -318,12 +323,31 @@
         (used || at.fract() * turn > open).then(|| began + seconds(turn) + LEAST_WAKE)
     }
 
-    /// Whether a call may go to the target now.
+    /// Whether a call may go to the target now. What only an event can change is asked for first.
     fn admit(&self, route: Route, target: &Target, now: Duration) -> Leave {
+        let circuit = self.circuits.get(&route);
+        let leave = circuit.map_or(Leave::Send, |c| self.admit_circuit(c, now));
+        if matches!(leave, Leave::Hold(_)) {
+            return leave;
+        }
         if let Some(at) = self.next_turn(route, target, now) {
-            return Leave::Hold(Some(at));
+            return Leave::Pace(Some(at));
+        }
+        let Some(circuit) = circuit.filter(|_| leave == Leave::Send) else { return leave };
+        // Symptom: calls are out and none has been answered for long. Against a silent or hanging destination
+        // that takes all slots before its first time-out; also covers stalls and slowdowns, which it paces by
+        // their own answers. It can harm by waiting behind one very long piece of work, hence two calls.
+        if circuit.out.len() >= 2 && circuit.calls_since(circuit.last_answer) > 0 {
+            let since = circuit.out.front().map_or(now, |o| o.1).max(circuit.last_answer);
+            if now.saturating_sub(since) > self.overdue_after(circuit) {
+                return Leave::Pace(None);
+            }
         }
-        let Some(circuit) = self.circuits.get(&route) else { return Leave::Send };
+        self.push_room(route, target, now).map_or_else(|at| Leave::Pace(Some(at)), |_| Leave::Send)
+    }
+
+    /// What the circuit itself says.
+    fn admit_circuit(&self, circuit: &Circuit, now: Duration) -> Leave {
         if now < circuit.wait_until {
             return Leave::Hold(Some(circuit.wait_until));
         }
@@ -333,32 +357,16 @@
         let after_last = circuit.last_sent + seconds(circuit.spacing);
         let spaced = if self.card.many { circuit.spaced_until } else { after_last };
         let leave = circuit.deliver(now);
-        if matches!(leave, Leave::Hold(_)) {
-            return leave;
-        }
-        if now < spaced {
+        if !matches!(leave, Leave::Hold(_)) && now < spaced {
             return Leave::Hold(Some(spaced));
         }
-        if leave == Leave::Trial {
-            return leave;
-        }
         // Calls that nothing has answered since. Of those from before an answer, which hang or are long, none
         // holds back what rejoins.
-        let calls = self.calls_since(route, circuit.last_answer);
-        if circuit.rejoin.is_some_and(|most| calls >= most) {
+        let calls = || circuit.calls_since(circuit.last_answer);
+        if leave == Leave::Send && circuit.rejoin.is_some_and(|most| calls() >= most) {
             return Leave::Hold(None);
         }
-        // Symptom: calls are out and none has been answered for long. Against a silent or hanging destination
-        // that takes all slots before its first time-out; also covers stalls and slowdowns, which it paces by
-        // their own answers. It can harm by waiting behind one very long piece of work, hence two calls.
-        if circuit.calls_out >= 2 && calls > 0 {
-            let out = self.dispatches.values().filter(|d| d.route == route);
-            let since = out.map(|d| d.sent).min().unwrap_or(now).max(circuit.last_answer);
-            if now.saturating_sub(since) > self.overdue_after(circuit) {
-                return Leave::Hold(None);
-            }
-        }
-        self.push_room(route, target, now).map_or_else(|at| Leave::Hold(Some(at)), |_| Leave::Send)
+        leave
     }
 
     /// What one outcome tells of the route and the target.
@@ -372,12 +380,13 @@
         let part = self.part(target, now);
         let most = (self.card.forwarders / LEAST_CAPACITY).min(2.0 / usual.max(0.01));
         let members = || of_route.iter().filter_map(|t| self.targets.get(t));
-        let troubled = members().any(|t| t.trouble.is_some());
-        let pushes = members().flat_map(|t| &t.pushes);
+        let troubled = members().any(|t| t.usage().trouble.is_some());
+        let pushes = members().flat_map(|t| &t.usage().pushes);
         let lately = pushes.filter(|p| now.saturating_sub(p.0) < self.card.tip_after).count();
+        self.circuit_mut(route);
         let card = &self.card;
-        let circuit = self.circuits.entry(route).or_default();
-        let Some(target) = self.targets.get_mut(&id) else { return };
+        let Some(circuit) = self.circuits.get_mut(&route) else { return };
+        let Some(target) = self.targets.get_mut(&id).map(Target::usage_mut) else { return };
         let answered = matches!(outcome, Outcome::Completed | Outcome::Error | Outcome::Full(_));
         target.answered = answered.then_some(now);
         let (mut all_troubled, mut until) = (false, now);
@@ -408,7 +417,8 @@
                     circuit.rejoin = None;
                 }
                 target.strikes.remove(&dispatch.category);
-                target.earned = (target.earned + EARNED_PER_ANSWER).min(EARNED_MOST);
+                let earned = target.earned.unwrap_or(card.first_credit);
+                target.earned = Some((earned + EARNED_PER_ANSWER).min(EARNED_MOST));
             }
             Outcome::Full(wait) => {
                 // Symptom: many forwarders are refused at about the same time, or told waits that end
@@ -480,8 +490,8 @@
         if target.standing != Standing::Active || target.destination != envelope.destination {
             return false;
         }
-        let zone_of = |at: TargetId| self.targets.get(&at).map(|t| &t.zone);
-        let strange = |(_, at)| id != at && zone_of(at) != Some(&target.zone);
+        let zone_of = |at: TargetId| self.targets.get(&at).map(|t| t.zone);
+        let strange = |(_, at)| id != at && zone_of(at) != Some(target.zone);
         let in_zone = matches!(self.effect(envelope), Effect::Receipted { group: Group::Zone, .. });
         let stranger = in_zone && envelope.may_have_run.is_some_and(strange);
         if stranger || now >= self.begin_by(envelope, self.route_of(id, target)) {
@@ -491,8 +501,8 @@
         // was refused may also go by the spacing alone; where forwarders are few, after a usual gap.
         let usual = self.usual_rate(target, now).max(0.01);
         let promised = self.card.categories[envelope.category].promised;
-        let idle = now.saturating_sub(target.last_sent);
-        if envelope.dispatches == 0 || target.earned >= 1.0 {
+        let idle = now.saturating_sub(target.usage().last_sent);
+        if envelope.dispatches == 0 || self.earned(target) >= 1.0 {
             return true;
         }
         if envelope.may_have_run.is_some() {
@@ -502,7 +512,7 @@
     }
 
     /// Until when a repeat may begin; without end for what needs no receipt.
-    fn receipt_until(&self, envelope: &Envelope) -> Duration {
+    pub(crate) fn receipt_until(&self, envelope: &Envelope) -> Duration {
         match (envelope.may_have_run, self.effect(envelope)) {
             (Some((first, _)), Effect::Receipted { window, .. }) => first + window,
             _ => Duration::MAX,
@@ -518,11 +528,6 @@
         self.receipt_until(envelope).min(stop)
     }
 
-    /// Whether a connection to the target is likely to stand idle.
-    fn connected(&self, target: &Target, now: Duration) -> bool {
-        target.calls_out == 0 && target.answered.is_some_and(|at| now < at + self.card.connection_idle)
-    }
-
     /// How many times as long as any call one to the route takes; no less than once.
     fn slowness(&self, circuit: Option<&Circuit>) -> f64 {
         let pace = self.pace.unwrap_or(1.0).max(0.001);
@@ -532,8 +537,9 @@
     /// Points that a call to the target costs: its route's fee, crossing zones, and a new connection.
     fn price(&self, target: &Target, now: Duration) -> f64 {
         let card = &self.card;
-        let fee = card.zone_fees.iter().find(|f| f.0 == target.zone && self.apart(target));
-        let crossing = if target.zone == card.zone { 0.0 } else { card.cross_zone_price };
+        let zone = self.zones.name(target.zone);
+        let fee = card.zone_fees.iter().find(|f| f.0 == zone && self.apart(target));
+        let crossing = if zone == card.zone { 0.0 } else { card.cross_zone_price };
         let connecting = if self.connected(target, now) { 0.0 } else { card.connection_price };
         fee.map_or(0.0, |f| f.1) + crossing + connecting
     }
@@ -550,7 +556,7 @@
         let burden = |id: &TargetId| {
             let t = &self.targets[id];
             let slow = self.slowness(self.circuits.get(&self.route_of(*id, t))).log2() as u64;
-            (strikes(t, category).min(3), slow, (self.price(t, now) * 1e6) as u64, t.calls_out)
+            (strikes(t, category).min(3), slow, (self.price(t, now) * 1e6) as u64, t.usage().calls_out)
         };
         let kept = able.iter().copied().filter(|id| self.connected(&self.targets[id], now));
         drawn.into_iter().chain(kept).min_by_key(burden).unwrap_or(able[0])
@@ -580,64 +586,74 @@
             host.subscribe(true);
         }
         sooner(&mut wake, self.ask_at);
-        for id in self.waiting.clone() {
+        self.backlog.wake_due(now);
+        for id in self.backlog.awake().clone() {
             self.forget_old(id, now);
         }
         self.make_room(now, host);
         self.forget_gone(now, self.card.longest + RECORD_MARGIN);
-        self.keys.retain(|_, line| !line.line.is_empty() || now < line.rest_until);
-        let waited: BTreeMap<_, _> = self.waiting.iter().map(|d| (*d, self.waited(*d, now))).collect();
-        while self.calls.len() < self.card.slots {
-            // Slots are few, and a slow call holds one for as long as several others would.
-            let slow = |id: &DestinationId| {
-                let of_routes = self.circuits_of(*id).map(|c| self.slowness(Some(c)));
-                of_routes.reduce(f64::min).unwrap_or(1.0)
-            };
-            let claim =
-                |id: &DestinationId| ((self.calls_out(*id) + 1) as f64 * slow(id) / waited[id]) as u64;
-            let turn = |id: &DestinationId| (claim(id), self.destinations[id].last_turn, *id);
-            let mut turns: Vec<_> = self.waiting.iter().map(turn).collect();
-            turns.sort();
-            if !turns.iter().any(|(_, _, d)| self.take_turn(*d, now, host, &mut wake)) {
-                break;
-            }
-        }
+        self.forget_idle(now, self.card.longest * IDLE_KEPT);
+        self.forget_keys(now);
+        self.take_turns(now, host, &mut wake);
         self.answer_hopeless(now, host, &mut wake);
         if self.calls.len() >= self.card.slots {
             self.free_slot(now, host, &mut wake);
         }
-        if let Some(at) = wake {
-            let at = at.max(now + LEAST_WAKE);
-            if self.wake_at.is_none_or(|pending| pending <= now || at < pending) {
-                self.wake_at = Some(at);
-                host.wake(at - now);
+        self.ask_wake(wake, now, host);
+    }
+
+    /// Calls as long as there are slots, each for the destination whose claim is the best.
+    fn take_turns(&mut self, now: Duration, host: &mut dyn Host, wake: &mut Option<Duration>) {
+        if self.calls.len() >= self.card.slots {
+            return;
+        }
+        let waits = |d: &DestinationId| (*d, self.waited(*d, now));
+        let waited: BTreeMap<DestinationId, f64> = self.backlog.awake().iter().map(waits).collect();
+        let mut turns: BinaryHeap<_> = waited.iter().map(|(d, w)| Reverse(self.claim(*d, *w))).collect();
+        let mut holds = self.backlog.next_wake();
+        while self.calls.len() < self.card.slots {
+            let Some(Reverse((.., destination))) = turns.pop() else {
+                // Nothing more can go until one of the waits ends.
+                sooner(wake, holds);
+                return;
+            };
+            if self.take_turn(destination, now, host, &mut holds) && self.backlog.line(destination).is_some()
+            {
+                turns.push(Reverse(self.claim(destination, waited[&destination])));
             }
         }
     }
 
+    /// Orders destinations for the next call: the least claim goes first. Slots are few, and a slow call holds one
+    /// for as long as several others would.
+    fn claim(&self, destination: DestinationId, waited: f64) -> (u64, u64, DestinationId) {
+        let of_routes = self.circuits_of(destination).map(|c| self.slowness(Some(c)));
+        let slow = of_routes.reduce(f64::min).unwrap_or(1.0);
+        let claim = ((self.calls_out(destination) + 1) as f64 * slow / waited) as u64;
+        (claim, self.destinations[&destination].traffic().last_turn, destination)
+    }
+
     /// How long a destination's oldest envelope that may still keep its promise has waited, as a part of it.
     fn waited(&self, destination: DestinationId, now: Duration) -> f64 {
-        let held = self.destinations[&destination].held.iter().filter_map(|id| self.envelopes.get(id));
-        let promised = |e: &Envelope| self.card.categories[e.category].promised.as_secs_f64().max(0.001);
-        let passed = |e: &Envelope| 1.0 - e.promised_by.saturating_sub(now).as_secs_f64() / promised(e);
-        held.map(passed).filter(|p| *p < 1.0).fold(LINE_WAITS, f64::max)
+        let promised = |c: &Class| self.card.categories[c.worth.category].promised.as_secs_f64().max(0.001);
+        let passed = |(c, by): (&Class, Duration)| 1.0 - by.saturating_sub(now).as_secs_f64() / promised(c);
+        let next = self.backlog.line(destination).into_iter().flat_map(|line| line.next_promises(now));
+        next.map(passed).filter(|p| *p < 1.0).fold(LINE_WAITS, f64::max)
     }
 
     /// Drops what is too old to matter of a destination's records, before they are read.
     fn forget_old(&mut self, destination: DestinationId, now: Duration) {
-        let Some(d) = self.destinations.get(&destination) else { return };
-        let tip_after = self.card.tip_after;
-        for id in &d.targets {
-            let Some(target) = self.targets.get(id) else { continue };
-            let route = self.route_of(*id, target);
-            if let Some(circuit) = self.circuits.get_mut(&route) {
+        let (tip_after, troubled_for) =
+            (self.card.tip_after, self.card.tip_after + 2 * self.card.warm_within);
+        let targets = self.destinations.get(&destination).map(|d| d.targets.clone());
+        for id in targets.unwrap_or_default() {
+            let Some(target) = self.targets.get(&id) else { continue };
+            if let Some(circuit) = self.circuits.get_mut(&self.route_of(id, target)) {
                 circuit.expire(now, &self.card);
             }
-            let Some(target) = self.targets.get_mut(id) else { continue };
-            while target.pushes.len() > 1 && now.saturating_sub(target.pushes[0].0) > tip_after {
-                target.pushes.pop_front();
+            if let Some(usage) = self.targets.get_mut(&id).and_then(Target::usage_if_any) {
+                usage.forget_old(now, tip_after, troubled_for);
             }
-            target.trouble = target.trouble.filter(|t| now <= *t + tip_after + 2 * self.card.warm_within);
         }
     }
 
@@ -648,7 +664,7 @@
         // Newest answer of a route that an envelope waits to go to, or of any where that route has not been
         // heard of lately; where all are slow alike, none is called off.
         let mut lively = Duration::ZERO;
-        for id in &self.waiting {
+        for id in self.backlog.awake() {
             for (target, t) in self.active(*id) {
                 let route = self.route_of(target, t);
                 if self.admit(route, t, now) != Leave::Send {
@@ -664,7 +680,7 @@
             let Some(circuit) = self.circuits.get(&d.route).filter(|c| c.last_answer <= d.sent) else {
                 continue;
             };
-            let Some(envelope) = self.envelopes.get(&key.0) else { continue };
+            let Some(envelope) = self.envelopes.get(d.envelope) else { continue };
             // Calling off an effectful one loses it, so that it takes longer.
             let patience = if self.effect(envelope) == Effect::Effectful { EFFECTFUL_PATIENCE } else { 1.0 };
             let allowed = self.overdue_after(circuit).mul_f64(patience);
@@ -675,42 +691,42 @@
                 worst = Some((ratio, key.clone()));
             }
         }
-        let Some((_, key)) = worst else { return };
-        let call = self.dispatches[&key].call;
-        for ((id, no), d) in self.dispatches.iter_mut().filter(|(_, d)| d.call == call) {
-            d.called_off = true;
-            host.call_off(id, *no);
+        if let Some((_, key)) = worst {
+            self.call_off(self.dispatches[&key].call, host);
         }
     }
 
-    /// Held envelopes of a destination, the one that should go first in front: inside its share before beyond
-    /// it, able to keep its promised time before late, by category, then by promised time. Categories come by
-    /// chance, with the square of their credit: strictly by it, a cheap one starves where a route is used up.
-    fn ranked(&mut self, destination: DestinationId, now: Duration) -> Vec<EnvelopeId> {
+    /// The order of categories. It comes by chance, with the square of their credit: strictly by it, a cheap one
+    /// starves where a route is used up.
+    fn draw_order(&mut self) -> Vec<u64> {
         let draw = |c: f64| (-self.order_chance.random::<f64>().ln() / c.max(0.001).powi(2) * 1e6) as u64;
-        let order: Vec<u64> = self.card.categories.iter().map(|c| c.credit).map(draw).collect();
-        let d = &self.destinations[&destination];
-        let mut ranked: Vec<_> = d
-            .held
-            .iter()
-            .filter_map(|id| self.envelopes.get(id).map(|e| (id, e)))
-            .filter(|(_, e)| self.key_free(e, now))
-            .map(|(id, e)| {
-                // What may have run has a receipt that runs out, and goes before that.
-                let late = e.promised_by <= now && e.may_have_run.is_none();
-                ((e.over_share, e.errors > 1, late, order[e.category], e.promised_by, e.arrival), id)
-            })
-            .collect();
-        ranked.sort();
-        ranked.into_iter().map(|(_, id)| id.clone()).collect()
+        self.card.categories.iter().map(|c| c.credit).map(draw).collect()
+    }
+
+    /// The envelopes of a run whose keys are free, each with its rank; the least goes first: inside its share
+    /// before beyond it, able to keep its promised time before late, by category, then by promised time.
+    fn free<'r>(&'r self, run: &Run<'r>, order: &[u64], now: Duration) -> impl Iterator<Item = Ranked> + 'r {
+        let class = run.class;
+        // What may have run has a receipt that runs out, and goes before that.
+        let late = run.late && !class.may_have_run;
+        let rank = (class.worth.over_share, class.errors > 1, late, order[class.worth.category]);
+        let keyed = self.card.categories[class.worth.category].ordered;
+        let free = move |key: &EnvelopeKey| !keyed || self.key_free(&self.envelopes[*key], now);
+        let of_run = run.entries().filter(move |(_, key)| free(key));
+        of_run.map(move |(promise, key)| ((rank, promise), key))
+    }
+
+    /// The first envelope of a run that one of these targets may get. All of a class fare alike, but for those
+    /// that have receipts.
+    fn first_able(&self, run: &Run, order: &[u64], to: &[TargetId], now: Duration) -> Option<Ranked> {
+        let most = if run.class.may_have_run { usize::MAX } else { 1 };
+        self.free(run, order, now).take(most).find(|(_, key)| !self.able(*key, to, now).is_empty())
     }
 
-    fn key_free(&self, envelope: &Envelope, now: Duration) -> bool {
-        let line = envelope.key.and_then(|k| self.keys.get(&k));
-        line.is_none_or(|l| {
-            let first = l.line.front().is_none_or(|f| f.0 == envelope.arrival);
-            first && (now >= l.rest_until || l.rest_owner == envelope.arrival)
-        })
+    /// Those of some targets that an envelope may go to.
+    fn able(&self, key: EnvelopeKey, to: &[TargetId], now: Duration) -> Vec<TargetId> {
+        let may = |t: &&TargetId| self.may_go(&self.envelopes[key], **t, &self.targets[*t], now);
+        to.iter().filter(may).copied().collect()
     }
 
     /// One call for the destination, if any envelope may go; says whether one went.
@@ -721,44 +737,49 @@
         host: &mut dyn Host,
         wake: &mut Option<Duration>,
     ) -> bool {
-        let mut open: BTreeMap<TargetId, (Route, bool)> = BTreeMap::new();
+        let (mut open, mut until, mut paced) = (BTreeMap::new(), None, false);
         for (id, t) in self.active(destination) {
             let route = self.route_of(id, t);
-            match self.admit(route, t, now) {
-                Leave::Send => open.insert(id, (route, false)),
-                Leave::Trial => open.insert(id, (route, true)),
-                Leave::Hold(until) => {
-                    sooner(wake, until);
-                    None
-                }
-            };
+            let leave = self.admit(route, t, now);
+            paced |= matches!(leave, Leave::Pace(_));
+            match leave {
+                Leave::Send => drop(open.insert(id, (route, false))),
+                Leave::Trial => drop(open.insert(id, (route, true))),
+                Leave::Hold(at) | Leave::Pace(at) => sooner(&mut until, at),
+            }
         }
+        sooner(wake, until);
         if open.is_empty() {
+            if !paced {
+                self.backlog.sleep(destination, until);
+            }
             return false;
         }
-        let ranked = self.ranked(destination, now);
-        let able = |id: &EnvelopeId, trial: bool| -> Vec<TargetId> {
-            let to = |t: &TargetId| self.may_go(&self.envelopes[id], *t, &self.targets[t], now);
-            open.iter().filter(|(t, o)| o.1 == trial && to(t)).map(|(t, _)| *t).collect()
-        };
-        let repeatable = |id: &&EnvelopeId| self.effect(&self.envelopes[*id]) != Effect::Effectful;
+        let order = self.draw_order();
+        let runs: Vec<Run> = self.backlog.runs(destination, now).collect();
+        let of_kind = |trial| open.iter().filter(move |(_, o)| o.1 == trial).map(|(t, _)| *t).collect_vec();
+        let (for_trial, for_others) = (of_kind(true), of_kind(false));
+        let repeatable = |category: usize| self.card.categories[category].effect != Effect::Effectful;
+        let first = |run: &Run, to: &[TargetId]| self.first_able(run, &order, to, now);
         // A trial may be lost, so that one goes with an envelope that may run again, if there is any.
-        let for_trial = ranked.iter().filter(repeatable).filter(|id| !able(id, true).is_empty());
-        let lead = (for_trial.min_by_key(|id| self.envelopes[*id].errors))
-            .or_else(|| ranked.iter().find(|id| !able(id, false).is_empty()))
-            .or_else(|| ranked.iter().find(|id| !able(id, true).is_empty()));
-        let Some(lead) = lead else {
+        let of_trial = runs.iter().filter(|r| repeatable(r.class.worth.category));
+        let of_trial = of_trial.filter_map(|r| Some((r.class.errors, first(r, &for_trial)?)));
+        let lead = (of_trial.min().map(|(_, ranked)| ranked))
+            .or_else(|| runs.iter().filter_map(|r| first(r, &for_others)).min())
+            .or_else(|| runs.iter().filter_map(|r| first(r, &for_trial)).min());
+        let Some((_, lead)) = lead else {
             sooner(wake, Some(now + self.card.recovery_delay / 4));
             return false;
         };
-        let trial = repeatable(&lead) && !able(lead, true).is_empty() || able(lead, false).is_empty();
-        let mut able = able(lead, trial);
+        let (tried, sent) = (self.able(lead, &for_trial, now), self.able(lead, &for_others, now));
+        let trial = repeatable(self.envelopes[lead].category) && !tried.is_empty() || sent.is_empty();
+        let mut able = if trial { tried } else { sent };
         // Symptom: one target of a destination fails, or fails one category, while what else answers keeps
         // the circuit shut. It can harm by resting a target for a call that was lost alone.
         let category = self.envelopes[lead].category;
         let rested = |id: &TargetId| {
             let t = &self.targets[id];
-            now >= t.last_sent + self.card.recovery_delay * strikes(t, category).min(4)
+            now >= t.usage().last_sent + self.card.recovery_delay * strikes(t, category).min(4)
         };
         if able.iter().any(rested) {
             able.retain(rested);
@@ -769,9 +790,13 @@
         let fits =
             1.0 + (self.push_room(route, &self.targets[&target], now).unwrap_or(1.0) - 1.0) / PUSH_PER_EXTRA;
         let batch = if trial { 1 } else { self.batch(&self.targets[&target]).min(fits as usize) };
-        let may = |id: &&EnvelopeId| self.may_go(&self.envelopes[*id], target, &self.targets[&target], now);
-        let others = ranked.iter().filter(|id| *id != lead).take(batch - 1).filter(may);
-        let going = std::iter::once(lead).chain(others).cloned().collect();
+        let may = |key: &EnvelopeKey| self.may_go(&self.envelopes[*key], target, &self.targets[&target], now);
+        let mut going = vec![lead];
+        if batch > 1 {
+            let runs = self.backlog.runs(destination, now);
+            let ranked = runs.map(|r| self.free(&r, &order, now)).kmerge().map(|(_, key)| key);
+            going.extend(ranked.filter(|key| *key != lead).take(batch - 1).filter(may));
+        }
         self.dispatch(going, target, leave, now, host);
         true
     }
@@ -779,7 +804,7 @@
     /// One call that carries these envelopes.
     fn dispatch(
         &mut self,
-        going: Vec<EnvelopeId>,
+        going: Vec<EnvelopeKey>,
         target: TargetId,
         (route, trial): (Route, bool),
         now: Duration,
@@ -791,44 +816,42 @@
         let recovery_delay = self.recovery_delay(&self.targets[&target], now);
         let push = 1.0 + PUSH_PER_EXTRA * (going.len() - 1) as f64;
         // One that timed out alone and went again would be a second copy of what its call still holds.
-        let waits = going.iter().filter_map(|id| Some(self.time_out(self.envelopes.get(id)?, route, trial)));
+        let waits = going.iter().filter_map(|k| Some(self.time_out(self.envelopes.get(*k)?, route, trial)));
         let together = waits.max().filter(|_| !self.card.copies).unwrap_or_default();
-        for id in going {
-            let Some(envelope) = self.envelopes.get(&id) else { continue };
+        for key in going {
+            let Some(envelope) = self.envelopes.get(key) else { continue };
             let left = envelope.outer_limit.saturating_sub(now);
             let time_out = self.time_out(envelope, route, trial).max(together).min(left);
             let begin_within = self.begin_by(envelope, route).saturating_sub(now).min(time_out);
             let further = envelope.dispatches > 0;
-            let (category, then) = (envelope.category, after_dispatch(id.clone(), target, now));
-            let no = self
-                .begin(&id, Dispatch { target, route, category, call, sent: now, called_off: false, then });
-            if let Some(t) = self.targets.get_mut(&target).filter(|_| further) {
-                t.earned = (t.earned - 1.0).max(0.0);
+            let then = after_dispatch(key, target, now);
+            let dispatch = Dispatch::new(key, envelope, (target, route), (call, now), then);
+            let Some((id, no)) = self.begin(dispatch) else { continue };
+            if further {
+                let earned = (self.earned(&self.targets[&target]) - 1.0).max(0.0);
+                self.change(&[target], |t| t.earned = Some(earned));
             }
             if trial {
-                let circuit = self.circuits.entry(route).or_default();
+                let circuit = self.circuit_mut(route);
                 circuit.re_arm(now, recovery_delay);
                 circuit.trial = Some((id.clone(), no));
             }
             host.dispatch(&id, target, Spans { call, begin_within, time_out });
         }
-        let circuit = self.circuits.entry(route).or_default();
-        circuit.calls_out += 1;
-        circuit.last_sent = now;
+        self.book_call(call, route, target, now, push);
+        let circuit = self.circuit_mut(route);
         circuit.spaced_until = circuit.spaced_until.max(now + seconds(circuit.spacing));
-        if let Some(t) = self.targets.get_mut(&target) {
-            t.calls_out += 1;
-            t.last_sent = now;
-            t.pushes.push_back((now, push));
-        }
     }
 }
 
+/// A held envelope behind what decides whether it goes before another.
+type Ranked = (((bool, bool, bool, u64), (Duration, u64)), EnvelopeKey);
+
 /// The step that a dispatch leaves behind: hold the envelope again where its category and what is known of
 /// the dispatch allow that, else break it off.
-fn after_dispatch(id: EnvelopeId, target: TargetId, sent: Duration) -> Next {
+fn after_dispatch(key: EnvelopeKey, target: TargetId, sent: Duration) -> Next {
     Box::new(move |forwarder, host, now, outcome| {
-        let Some(envelope) = forwarder.envelopes.get_mut(&id) else { return };
+        let Some(envelope) = forwarder.envelopes.get_mut(key) else { return };
         if !outcome.never_ran() {
             let first = envelope.may_have_run.map_or(sent, |m| m.0.min(sent));
             envelope.may_have_run = Some((first, target));
@@ -836,15 +859,14 @@
         if !envelope.out.is_empty() {
             return;
         }
-        let destination = envelope.destination;
         if outcome == Outcome::Unreadable {
             // No target will ever read it, and whoever hands it in again is told the same.
-            host.break_off(&id);
-            forwarder.end(&id, host);
-        } else if forwarder.spent(&id, now) {
-            forwarder.give_up(&id, now, host);
+            host.break_off(&envelope.id);
+            forwarder.end_key(key, host);
+        } else if forwarder.spent(key, now) {
+            forwarder.give_up(key, now, host);
         } else {
-            forwarder.hold(destination, id);
+            forwarder.hold(key);
         }
     })
 }
@@ -853,16 +875,16 @@
 
 impl Forwarder {
     /// Whether an envelope may not be dispatched again, whatever its destination does.
-    fn spent(&self, id: &EnvelopeId, now: Duration) -> bool {
-        let Some(envelope) = self.envelopes.get(id) else { return true };
+    fn spent(&self, key: EnvelopeKey, now: Duration) -> bool {
+        let Some(envelope) = self.envelopes.get(key) else { return true };
         envelope.dispatches >= self.card.dispatch_cap
             || now >= envelope.outer_limit
             || (self.effect(envelope) == Effect::Effectful && envelope.may_have_run.is_some())
     }
 
     /// The one final answer for an envelope that is given up on: shed where handing it in again is harmless.
-    fn give_up(&mut self, id: &EnvelopeId, now: Duration, host: &mut dyn Host) {
-        let Some(envelope) = self.envelopes.get(id) else { return };
+    fn give_up(&mut self, key: EnvelopeKey, now: Duration, host: &mut dyn Host) {
+        let Some(envelope) = self.envelopes.get(key) else { return };
         let unrun = envelope.may_have_run.is_none() && envelope.out.is_empty();
         let receipt = envelope.may_have_run.is_some() && now < self.receipt_until(envelope);
         let repeatable = match self.effect(envelope) {
@@ -871,11 +893,11 @@
             Effect::Effectful => false,
         };
         if (unrun || repeatable) && now < envelope.outer_limit {
-            host.shed(id, self.come_back(envelope.destination, now));
+            host.shed(&envelope.id, self.come_back(envelope.destination, now));
         } else {
-            host.break_off(id);
+            host.break_off(&envelope.id);
         }
-        self.end(id, host);
+        self.end_key(key, host);
     }
 
     /// When a destination may take an envelope again, as far as that is known.
@@ -886,48 +908,42 @@
         Some(opens.saturating_sub(now).max(self.card.recovery_delay).min(most))
     }
 
-    /// Forgets an envelope that has its final answer or was withdrawn, and calls off what is out for it.
-    pub fn end(&mut self, id: &EnvelopeId, host: &mut dyn Host) {
-        for no in self.forget(id) {
-            host.call_off(id, no);
-        }
-    }
-
     /// Envelopes that can no longer be completed are answered at once: no time for an answer is left, the
     /// asked wait of every target ends too late, or a receipt has run out. While some time is left it can
     /// still be said that handing in again is harmless.
     fn answer_hopeless(&mut self, now: Duration, host: &mut dyn Host, wake: &mut Option<Duration>) {
-        let mut hopeless = Vec::new();
         let answer = seconds(self.pace.unwrap_or_default()).max(LAST_MOMENT);
-        for destination in &self.waiting {
-            let opens = self.circuits_of(*destination).map(|c| c.wait_until).min().unwrap_or_default();
-            for id in &self.destinations[destination].held {
-                let Some(e) = self.envelopes.get(id) else { continue };
-                let end = e.outer_limit.saturating_sub(answer).min(self.receipt_until(e));
-                if now >= end || opens >= end {
-                    hopeless.push(id.clone());
-                } else {
-                    sooner(wake, Some(end));
-                }
-            }
-        }
-        for id in hopeless {
-            self.give_up(&id, now, host);
+        self.renew_indices();
+        let mut hopeless: Vec<_> = self.backlog.ending(now, answer).into_iter().collect();
+        hopeless
+            .sort_by_key(|key| (self.envelopes[*key].destination, self.envelopes[*key].held.map(|h| h.0)));
+        for key in hopeless {
+            self.give_up(key, now, host);
         }
+        self.renew_indices();
+        sooner(wake, self.backlog.next_end(answer));
     }
 
     /// Symptom: the holding room is full, and whatever comes next is turned away unseen. What would earn
-    /// least goes instead, of the destination with most held where several would.
+    /// least goes instead. Of what is late, the one whose promise ended first; of what is not, the one that is
+    /// promised last, of the destination with most held.
     fn make_room(&mut self, now: Duration, host: &mut dyn Host) {
         while self.envelopes.len() >= self.card.room {
-            let held = self.waiting.iter().flat_map(|d| &self.destinations[d].held);
-            let known = held.filter_map(|id| self.envelopes.get(id).map(|e| (id, e)));
-            let worth = known.map(|(id, e)| {
-                let line = self.destinations[&e.destination].held.len();
-                ((self.worth(e, now) * 1e6) as u64, usize::MAX - line, u64::MAX - e.arrival, id)
+            self.renew_indices();
+            let candidates = self.backlog.worth_classes().filter_map(|class| {
+                let first = self.backlog.earliest(class)?;
+                let late = first.by < now;
+                let (len, p) = if late { (usize::MAX, first) } else { self.backlog.longest(class)? };
+                let worth = (self.worth(&self.envelopes[p.key], now) * 1e6) as u64;
+                let order = if late {
+                    (0, p.by, p.arrival)
+                } else {
+                    (usize::MAX - len, Duration::MAX - p.by, u64::MAX - p.arrival)
+                };
+                Some(((worth, !late, order), p.key))
             });
-            let Some(least) = worth.min().map(|w| w.3.clone()) else { return };
-            self.give_up(&least, now, host);
+            let Some((_, least)) = candidates.min() else { return };
+            self.give_up(least, now, host);
         }
     }
 
@@ -956,16 +972,13 @@
         if card.ask_within.is_some() {
             host.subscribe(true);
         }
-        let tenants = card.tenants.iter().map(|_| Tenant { balance: 0.0, since: now }).collect();
-        Forwarder::new(card, chance, tenants)
+        Forwarder::new(card, chance, now)
     }
 
     /// One line of the list of targets, between [`Forwarder::list_begins`] and [`Forwarder::list_ends`].
     pub fn listed(&mut self, listing: Listing) {
-        let kind = self.card.kinds.iter().position(|k| k.0 == listing.kind);
-        let earned = (EARNED_FIRST / self.card.forwarders).min(EARNED_MOST);
         let phase = self.chance.random::<f64>();
-        self.enter(&listing, kind, earned, phase);
+        self.enter(&listing, phase);
     }
 
     /// Asking for the list failed; the old one stands. Symptom: all ask again at once, and discovery, which
@@ -1002,12 +1015,15 @@
         let promised_by = outer_limit.saturating_sub(whole.saturating_sub(rate.promised));
         let tenant = tenant.and_then(|t| self.card.tenants.iter().position(|n| n.0 == t));
         let over_share = tenant.is_some_and(|t| self.over_share(t, now));
-        self.take(id, Envelope::new(category, key, destination, promised_by, outer_limit, over_share), now);
+        let times = (promised_by, outer_limit);
+        let envelope = Envelope::new(id, category, key, destination, times, over_share);
+        self.take(envelope, now);
     }
 
     /// The host itself has handed in again what it took on before this start, with its dispatches until then.
     pub fn recall(&mut self, now: Duration, id: &EnvelopeId, past: &[Past], host: &mut dyn Host) {
-        let Some(envelope) = self.envelopes.get_mut(id) else { return };
+        let Some(key) = self.envelopes.key_of(id) else { return };
+        let Some(envelope) = self.envelopes.get_mut(key) else { return };
         envelope.dispatches = past.len() as u32;
         let destination = envelope.destination;
         // Taken on once, it is no late newcomer: the nearer half of what it has left is its promise.
@@ -1017,20 +1033,24 @@
         envelope.may_have_run = unsure.min_by_key(|u| u.0);
         if envelope.may_have_run.is_some() {
             // It may be running still.
-            self.rest_line(id, now + self.card.key_rest);
+            let (key, arrival) = (envelope.key, envelope.arrival);
+            self.rest_line(key, arrival, now + self.card.key_rest);
         }
-        if self.spent(id, now) {
-            self.give_up(id, now, host);
+        self.refile(key);
+        if self.spent(key, now) {
+            self.give_up(key, now, host);
         }
         // Symptom: many forwarders that start again at once send what each of them owes in one wave, and what
         // they knew of limits is gone with the process. Its routes are met as if they had refused.
         let of_destination =
             self.active(destination).map(|(id, t)| (self.route_of(id, t), self.part(t, now)));
         for (route, part) in of_destination.filter(|_| self.card.many).collect::<Vec<_>>() {
-            let circuit = self.circuits.entry(route).or_default();
-            if circuit.spacing == 0.0 {
+            let first = self.circuit_mut(route).spacing == 0.0;
+            let drawn = if first { self.chance.random::<f64>() } else { 0.0 };
+            let circuit = self.circuit_mut(route);
+            if first {
                 circuit.spacing = OVERLISTED / part;
-                circuit.spaced_until = now + seconds(self.chance.random::<f64>() * circuit.spacing);
+                circuit.spaced_until = now + seconds(drawn * circuit.spacing);
             }
             circuit.spaced_until = circuit.spaced_until.min(soon);
         }
@@ -1041,15 +1061,7 @@
     /// everywhere. Two seconds of the share may come at once.
     fn over_share(&mut self, tenant: usize, now: Duration) -> bool {
         let share = self.card.tenants[tenant].1;
-        let account = &mut self.tenants[tenant];
-        let gone = now.saturating_sub(account.since).as_secs_f64();
-        account.balance = (account.balance + share * gone).min(share.max(1.0) * 2.0);
-        account.since = now;
-        let over = account.balance < 1.0;
-        if !over {
-            account.balance -= 1.0;
-        }
-        over
+        !self.tenants[tenant].spend(share, share.max(1.0) * 2.0, now)
     }
 
     /// A dispatch has ended; `over` says that its envelope is over, by this end or before it.
@@ -1074,7 +1086,9 @@
         // destination restrained. Its second error tells of the envelope and not of the route. It can harm by
         // seeing an outage with errors later, where a single envelope is all that is sent.
         let mut blamed = false;
-        if let Some(envelope) = self.envelopes.get_mut(id).filter(|_| outcome == Outcome::Error) {
+        if let Some(envelope) =
+            self.envelopes.get_mut(dispatch.envelope).filter(|_| outcome == Outcome::Error)
+        {
             blamed = envelope.errors > 0;
             envelope.errors += 1;
         }
@@ -1091,43 +1105,30 @@
             }
         }
         if matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff) {
-            self.rest_line(id, now + self.card.key_rest);
+            self.rest_line(dispatch.key, dispatch.arrival, now + self.card.key_rest);
         }
-        self.leave_line(id);
+        self.leave_line(id, dispatch.key, dispatch.arrival);
         if over {
-            self.end(id, host);
+            self.end_key(dispatch.envelope, host);
         } else {
             (dispatch.then)(self, host, now, outcome);
         }
     }
 
-    /// What an answer or a probe told of the limit of its target's route; to be told before the outcome.
-    pub fn reported(&mut self, target: TargetId, report: LimitReport) {
-        let of_limits = self.targets.get(&target).filter(|_| self.card.answers_report);
-        let Some(route) = of_limits.map(|t| self.route_of(target, t)) else { return };
-        let limit = Some(report.limit).filter(|l| *l > 0.0);
-        self.change(&self.members(route), |t| t.limit = limit);
-        self.circuits.entry(route).or_default().left = limit.map(|_| report.left);
-    }
-
     /// Rule 6. Each envelope of a call may be the one that is told to wait, or its answer speaks to them all.
     pub(crate) fn asked_to_wait(&mut self, now: Duration, route: Route, wait: Duration) {
-        let Some(circuit) = self.circuits.get_mut(&route) else { return };
-        circuit.wait_until = circuit.wait_until.max(now + wait);
-        circuit.told_wait = wait;
+        if let Some(destination) = self.destination_of(route) {
+            self.forget_old(destination, now);
+        }
+        self.touch(route);
         // Symptom: all that was held goes at once when a long wait ends, to a destination that was shut and
         // is cold. A wait as long as the recovery delay is a restraint, and ends with a trial.
         let restrains = if self.card.many { self.card.tip_after } else { self.card.recovery_delay };
+        let Some(circuit) = self.circuits.get_mut(&route) else { return };
+        circuit.wait_until = circuit.wait_until.max(now + wait);
+        circuit.told_wait = wait;
         if wait >= restrains {
             circuit.re_arm(now, wait);
         }
     }
-
-    /// A wake that was asked for has come.
-    pub fn alarm(&mut self, now: Duration) {
-        // Symptom: an envelope outlives its limit, as a host's timer rounds down and wakes a hair early.
-        if self.wake_at.is_some_and(|at| at <= now + LEAST_WAKE) {
-            self.wake_at = None;
-        }
-    }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// An envelope's id, given back as it came.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EnvelopeId(pub Arc<str>);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,9 +75,12 @@
 //! forwarder.turn(later, &mut host);
 //! ```
 
+mod backlog;
 pub mod control;
+pub mod envelopes;
 pub mod host;
 pub mod state;
+pub mod targets;
 
 pub use host::*;
 pub use state::Forwarder;
