--- a/crates/forwarder/src/discovery.rs
+++ b/crates/forwarder/src/discovery.rs
@@ -3,21 +3,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use reeddock_protocol::{wait_of, watch, ListPart};
+use reeddock_protocol::{wait_of, watch};
 use tokio::sync::{mpsc, watch as told};
 use tokio::time::{sleep, timeout};
 
 use crate::connections::Connection;
+use crate::list_reader::read;
 use crate::owner::Event;
 use crate::reopening::{Loss, Reopening};
 use crate::seldom::Seldom;
 
 /// An empty line comes every two seconds; two that stay away are a silence.
-const SILENT_AFTER: Duration = Duration::from_millis(4500);
+pub(crate) const SILENT_AFTER: Duration = Duration::from_millis(4500);
 const OPEN_WITHIN: Duration = Duration::from_secs(1);
-/// The whole list of a large fleet fits well inside this.
-const LONGEST_LINE: usize = 16 * 1024 * 1024;
 
 /// Where discovery is from now on; never, once nobody can tell that any more.
 pub(crate) async fn moved(at: &mut told::Receiver<SocketAddr>) {
@@ -93,36 +91,5 @@
     if answer.status != http::StatusCode::OK {
         return Loss::Refused(format!("answered {}", answer.status), wait_of(&answer));
     }
-    let mut line: Vec<u8> = Vec::new();
-    loop {
-        let frame = match timeout(SILENT_AFTER, body.frame()).await {
-            Err(_) => return broken("silent"),
-            Ok(None) => return broken("closed"),
-            Ok(Some(Err(e))) => return Loss::Broken(e.to_string()),
-            Ok(Some(Ok(frame))) => frame,
-        };
-        for byte in frame.into_data().unwrap_or_default() {
-            if byte != b'\n' {
-                line.push(byte);
-                if line.len() > LONGEST_LINE {
-                    return broken("a line has no end");
-                }
-                continue;
-            }
-            *heard = true;
-            if !line.trim_ascii().is_empty() {
-                let part = match ListPart::decode(&line) {
-                    Ok(part) => part,
-                    Err(fault) => return Loss::Broken(format!("a line that can't be read: {fault}")),
-                };
-                let generation = part.generation;
-                if owner.send(Event::List(part)).await.is_err() {
-                    return broken("the forwarder stops");
-                }
-                // Only now: a watch that is left for another address before this asks for it again.
-                *known = generation;
-            }
-            line.clear();
-        }
-    }
+    read(&mut body, known, heard, owner).await
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`passage`] | what has passed on a connection |
 //! | [`crowding`] | which kinds of target have no room for idle connections |
 //! | [`discovery`] | the watch on the list of targets |
+//! | [`list_reader`] | reads what a watch tells |
 //! | [`notices`] | tells the platform of what was not delivered |
 //! | [`limits`] | what the machine has room for |
 //! | [`seldom`] | log lines that would come in floods |
@@ -22,6 +23,7 @@
 pub mod discovery;
 pub mod intake;
 pub mod limits;
+pub mod list_reader;
 pub mod notices;
 pub mod owner;
 pub mod passage;
