The list is decoded entry by entry, from bytes that come in any pieces

A whole list of 320,000 entries is a line of 50 MB; it was held as one line, bounded by 16 MiB. ListDecoder has no I/O and holds one entry at most: it is bounded by entries of a part (1,000,000) and bytes of one value (64 KiB). Keys may come in any order; entries before generation and reset are kept up to 8 MiB. An empty line inside a part is a fault. Nothing uses it yet.

--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -12,7 +12,7 @@
 };
 pub use ending::Ending;
 pub use hand_in::{Answer, HandIn, MOST_BODY};
-pub use list::{watch, Entry, ListPart};
+pub use list::{watch, Bounds, Entry, ListDecoder, ListEvent, ListPart};
 pub use notice::{notices, GivenUp, Notice};
 
 /// What is wrong with a message, in one line.
--- /dev/null
+++ b/crates/protocol/src/list/mod.rs
@@ -0,0 +1,121 @@
+//! The list of targets, whole or in part, as discovery tells it.
+
+mod decoder;
+mod value_scan;
+
+use std::borrow::Cow;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use reeddock::{DestinationId, Standing};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer};
+
+use crate::Fault;
+pub use decoder::{Bounds, ListDecoder, ListEvent};
+
+/// One part of the list: all of it, or what changed.
+#[derive(Debug, PartialEq)]
+pub struct ListPart {
+    pub generation: u64,
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+}
+
+/// What the list says of one target.
+#[derive(Debug, PartialEq)]
+pub struct Entry {
+    /// The same at every forwarder and at each start.
+    pub name: String,
+    /// None where it is told no more, as the target is gone.
+    pub address: Option<SocketAddr>,
+    pub destination: DestinationId,
+    pub standing: Standing,
+    pub weight: Option<f64>,
+    pub zone: String,
+    pub kind: String,
+}
+
+/// An entry as it stands on the wire.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance<'a> {
+    instance_id: String,
+    #[serde(default, borrow)]
+    host_port: Cow<'a, str>,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    machine_type: String,
+    cell: u64,
+    #[serde(borrow)]
+    lifecycle: Cow<'a, str>,
+    weight: Option<f64>,
+}
+
+impl TryFrom<Instance<'_>> for Entry {
+    type Error = Fault;
+
+    fn try_from(instance: Instance) -> Result<Entry, Fault> {
+        let standing = match instance.lifecycle.as_ref() {
+            "Ready" => Standing::Active,
+            "Terminating" => Standing::Leaving,
+            "Gone" => Standing::Gone,
+            other => return Err(format!("unknown lifecycle {other:?}")),
+        };
+        let address = instance.host_port.parse().ok();
+        if address.is_none() && standing != Standing::Gone {
+            return Err(format!("{:?} is no address", instance.host_port));
+        }
+        Ok(Entry {
+            name: instance.instance_id,
+            address,
+            destination: DestinationId(instance.cell),
+            standing,
+            weight: instance.weight,
+            zone: instance.zone,
+            kind: instance.machine_type,
+        })
+    }
+}
+
+impl<'de> Deserialize<'de> for Entry {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Entry, D::Error> {
+        Entry::try_from(Instance::deserialize(deserializer)?).map_err(D::Error::custom)
+    }
+}
+
+/// A part as it stands on the wire.
+#[derive(Deserialize)]
+struct Line {
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<Entry>,
+}
+
+impl ListPart {
+    /// Decodes a part that is there whole. What may be large is read with [`ListDecoder`].
+    pub fn decode(line: &[u8]) -> Result<ListPart, Fault> {
+        serde_json::from_slice(line).map(ListPart::of).map_err(|e| e.to_string())
+    }
+
+    pub fn decode_value(value: serde_json::Value) -> Result<ListPart, Fault> {
+        serde_json::from_value(value).map(ListPart::of).map_err(|e| e.to_string())
+    }
+
+    fn of(Line { generation, reset, instances }: Line) -> ListPart {
+        ListPart { generation, whole: reset, entries: instances }
+    }
+}
+
+/// Asks for what changes after a generation of the list.
+pub fn watch(discovery: SocketAddr, after: u64) -> Result<Request<Full<Bytes>>, Fault> {
+    Request::get(format!("/v1/servers?stream=1&index={after}"))
+        .header("host", discovery.to_string())
+        .body(Full::default())
+        .map_err(|e| e.to_string())
+}
