Lists reach the owner in pieces; the owner is split, and no part of the list costs a walk

Cause: the watch's line was held whole and refused over 16 MiB, so that 320,000 targets never came; each part walked all targets (names, places, connections, kinds). Change: the reader hands ListDecoder's events on, 256 at most in a piece and 2 pieces waiting, in a queue of their own; the owner applies them while it waits for its turn, and yields between pieces. A list that breaks off is told to the module (list_broken); the generation counts once a part ended. Targets go by list_ends and take_forgotten. Names, addresses and kinds stand in one compact table. A line for each new target up to 100 in a part, the rest at debug, and one line for a whole list. The health check stays 200 and says in its body whether a list is in force, or why not. owner.rs is split by the steps of an envelope's way; events have a file of their own, so that calls.rs no longer leads back to it. crowding.rs counts targets by kind instead of walking them; its test forgets targets by id and checks one more step.

--- a/crates/forwarder/src/calls.rs
+++ b/crates/forwarder/src/calls.rs
@@ -23,7 +23,7 @@
 use tower::{Service, ServiceExt};
 
 use crate::connections::{locked, Connection, Connections};
-use crate::owner::Event;
+use crate::events::Event;
 
 /// One call to one target.
 pub struct Call {
--- a/crates/forwarder/src/connections.rs
+++ b/crates/forwarder/src/connections.rs
@@ -350,16 +350,19 @@
         }
     }
 
-    /// A whole list does not name the target any more.
+    /// The target is gone, or a whole list does not name it any more.
     pub fn gone(&self, target: TargetId) {
         locked(&self.left).insert(target);
         self.close_idle(target);
     }
 
     /// Forgets what the list said of targets that nothing is known of any more.
-    pub fn forget(&self, known: impl Fn(&TargetId) -> bool) {
-        locked(&self.left).retain(&known);
-        locked(&self.crowding).forget(known);
+    pub fn forget(&self, targets: &[TargetId]) {
+        let (mut left, mut crowding) = (locked(&self.left), locked(&self.crowding));
+        for target in targets {
+            left.remove(target);
+            crowding.forget(*target);
+        }
     }
 
     /// Whether a call that has waited for its connection may still begin.
--- a/crates/forwarder/src/crowding.rs
+++ b/crates/forwarder/src/crowding.rs
@@ -1,9 +1,8 @@
 //! Which kinds of target have no room for idle connections. Decides alone, without I/O.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::time::Duration;
 
+use hashbrown::HashMap;
 use reeddock::TargetId;
 use tokio::time::Instant;
 
@@ -16,34 +15,70 @@
 /// one is not turned away there, but at other targets of the kind: so what one target of a kind says goes for all.
 #[derive(Default)]
 pub struct Crowding {
-    kinds: BTreeMap<TargetId, Arc<str>>,
-    turned_away: BTreeMap<Arc<str>, Instant>,
+    /// The kind of each target, by its number, as its place among the kinds.
+    kind_of: HashMap<u32, u32>,
+    kinds: Vec<Kind>,
+}
+
+struct Kind {
+    name: Box<str>,
+    /// How many are listed; with none its place is free for another kind.
+    targets: usize,
+    /// When one of them last had no room.
+    turned_away: Option<Instant>,
 }
 
 impl Crowding {
     pub fn listed(&mut self, target: TargetId, kind: &str) {
-        if self.kinds.get(&target).is_none_or(|known| &**known != kind) {
-            self.kinds.insert(target, Arc::from(kind));
+        let known = self.kind_of.get(&target.0).copied();
+        if known.is_some_and(|place| self.kinds.get(place as usize).is_some_and(|known| &*known.name == kind))
+        {
+            return;
         }
+        self.forget(target);
+        let place = self.place_of(kind);
+        self.kinds[place].targets += 1;
+        self.kind_of.insert(target.0, place as u32);
     }
 
-    /// Forgets targets that nothing is known of any more, and kinds with them.
-    pub fn forget(&mut self, known: impl Fn(&TargetId) -> bool) {
-        self.kinds.retain(|target, _| known(target));
-        let Crowding { kinds, turned_away } = self;
-        turned_away.retain(|kind, _| kinds.values().any(|listed| listed == kind));
+    /// Where a kind stands, which it may have to be given.
+    fn place_of(&mut self, kind: &str) -> usize {
+        let used = |known: &Kind| known.targets > 0 && &*known.name == kind;
+        if let Some(place) = self.kinds.iter().position(used) {
+            return place;
+        }
+        let new = Kind { name: kind.into(), targets: 0, turned_away: None };
+        match self.kinds.iter().position(|known| known.targets == 0) {
+            Some(place) => {
+                self.kinds[place] = new;
+                place
+            }
+            None => {
+                self.kinds.push(new);
+                self.kinds.len() - 1
+            }
+        }
+    }
+
+    /// Forgets a target that nothing is known of any more, and its kind with the last of that.
+    pub fn forget(&mut self, target: TargetId) {
+        let place = self.kind_of.remove(&target.0);
+        if let Some(kind) = place.and_then(|place| self.kinds.get_mut(place as usize)) {
+            kind.targets -= 1;
+        }
     }
 
     /// The target had no room for one more connection.
     pub fn turned_away(&mut self, target: TargetId, now: Instant) {
-        if let Some(kind) = self.kinds.get(&target) {
-            self.turned_away.insert(kind.clone(), now);
+        let place = self.kind_of.get(&target.0).copied();
+        if let Some(kind) = place.and_then(|place| self.kinds.get_mut(place as usize)) {
+            kind.turned_away = Some(now);
         }
     }
 
     /// Whether a connection to the target may stand idle.
     pub fn has_room(&self, target: TargetId, now: Instant) -> bool {
-        let last = self.kinds.get(&target).and_then(|kind| self.turned_away.get(kind));
-        last.is_none_or(|at| now >= *at + REMEMBERED)
+        let kind = self.kind_of.get(&target.0).and_then(|place| self.kinds.get(*place as usize));
+        kind.and_then(|kind| kind.turned_away).is_none_or(|at| now >= at + REMEMBERED)
     }
 }
--- a/crates/forwarder/src/intake.rs
+++ b/crates/forwarder/src/intake.rs
@@ -29,8 +29,9 @@
 use tower::Service;
 
 use crate::connections::{locked, out_of_descriptors, read_through};
+use crate::events::Event;
 use crate::limits::Limits;
-use crate::owner::Event;
+use crate::list_status::ListStatus;
 use crate::passage::HeadEnd;
 use crate::seldom::Seldom;
 
@@ -56,6 +57,7 @@
     leaving: AtomicBool,
     guests: Mutex<BTreeMap<u64, Arc<Guest>>>,
     closing: watch::Sender<bool>,
+    list: ListStatus,
 }
 
 /// One client's connection.
@@ -163,6 +165,11 @@
 }
 
 impl Door {
+    /// Clients that ask for its health are told of the list.
+    pub fn new(list: ListStatus) -> Door {
+        Door { list, ..Door::default() }
+    }
+
     /// From here on clients are asked to go elsewhere.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
@@ -238,7 +245,7 @@
     async fn answer(&self, request: Request<Incoming>) -> Answer {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/healthz") if self.door.leaving() => Answer::Leaving,
-            (&Method::GET, "/healthz") => Answer::Healthy,
+            (&Method::GET, "/healthz") => Answer::Healthy(self.door.list.trouble()),
             (&Method::POST, "/api") => self.hand_in(request).await,
             _ => Answer::NotFound,
         }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -4,13 +4,17 @@
 //! | part | its job |
 //! | --- | --- |
 //! | [`intake`] | clients hand envelopes in |
-//! | [`owner`] | owns the module and the ledger; one queue leads to it |
+//! | [`events`] | what the sockets tell the owner |
+//! | [`owner`] | owns the module and the ledger; bounded queues lead to it |
+//! | [`targets`] | names, numbers and addresses of targets |
 //! | [`calls`] | one call to a target, to its end |
 //! | [`connections`] | connections, kept and counted |
 //! | [`passage`] | what has passed on a connection |
 //! | [`crowding`] | which kinds of target have no room for idle connections |
 //! | [`discovery`] | the watch on the list of targets |
 //! | [`list_reader`] | reads what a watch tells |
+//! | [`list_status`] | what the health check says of the list |
+//! | [`unreadable_list`] | when a list that can't be read is asked for again |
 //! | [`notices`] | tells the platform of what was not delivered |
 //! | [`limits`] | what the machine has room for |
 //! | [`seldom`] | log lines that would come in floods |
@@ -21,14 +25,18 @@
 pub mod connections;
 pub mod crowding;
 pub mod discovery;
+pub mod events;
 pub mod intake;
 pub mod limits;
 pub mod list_reader;
+pub mod list_status;
 pub mod notices;
 pub mod owner;
 pub mod passage;
 pub mod reopening;
 pub mod seldom;
+pub mod targets;
+pub mod unreadable_list;
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -48,9 +56,12 @@
 use calls::Courier;
 use clock::Clock;
 use connections::Connections;
+use events::Event;
 use intake::Door;
 use limits::{Allowance, Limits};
-use owner::{Event, Owner, State};
+use list_reader::PIECES_WAITING;
+use list_status::ListStatus;
+use owner::{Owner, State};
 use reopening::Reopening;
 
 /// What one forwarder is told at its start.
@@ -91,8 +102,10 @@
     let ledger = Ledger::open(&post.state, post.allowance.disk_bytes, post.sync)
         .map_err(|e| io::Error::new(e.kind(), format!("ledger in {}: {e}", post.state.display())))?;
     let (events, queue) = mpsc::channel(limits.queue);
+    let (watched, watch) = mpsc::channel(PIECES_WAITING);
     let (notices, untold) = mpsc::unbounded_channel();
     let connections = Connections::new(limits.calls, post.connect_within, post.closed_after);
+    let list_status = ListStatus::default();
     let mut state = State::default();
     let batches: BTreeMap<String, usize> =
         post.terms.kinds.iter().map(|k| (k.0.clone(), k.2.unwrap_or(1).max(1) as usize)).collect();
@@ -109,12 +122,15 @@
         most_bodies: limits.bodies,
         notices,
         events: events.clone(),
+        list_status: list_status.clone(),
         state,
     };
-    owner.list(post.known);
+    if !post.known.entries.is_empty() {
+        owner.list(post.known);
+    }
     owner.take_up();
     tokio::spawn(notices::tell(post.discovery.clone(), untold, events.clone()));
-    tokio::spawn(discovery::follow(post.discovery, generation, reopening, events.clone()));
+    tokio::spawn(discovery::follow(post.discovery, generation, reopening, watched));
     tokio::spawn(async move {
         let mut tick = interval(Duration::from_millis(500));
         loop {
@@ -122,7 +138,7 @@
             connections.sweep();
         }
     });
-    let door = Arc::new(Door::default());
+    let door = Arc::new(Door::new(list_status));
     let listen = listener.local_addr()?;
     let accepting = tokio::spawn(intake::accept(listener, limits, door.clone(), events.clone()));
     tracing::info!(listen = %listen, "serving");
@@ -143,7 +159,7 @@
         std::future::pending::<()>().await
     };
     tokio::select! {
-        () = owner.run(queue) => Ok(()),
+        () = owner.run(queue, watch) => Ok(()),
         () = leave => Ok(()),
     }
 }
--- a/crates/forwarder/src/list_reader.rs
+++ b/crates/forwarder/src/list_reader.rs
@@ -1,57 +1,105 @@
-//! Reads the body of a watch: parts of the list of targets, one a line, handed to the owner as they come.
+//! Reads the body of a watch: what it tells goes to the owner in pieces, as it comes.
+
+use std::mem;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use reeddock_protocol::ListPart;
+use reeddock_protocol::{ListDecoder, ListEvent};
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::discovery::SILENT_AFTER;
-use crate::owner::Event;
+use crate::events::Event;
 use crate::reopening::Loss;
+use crate::unreadable_list::UnreadableList;
 
-/// The whole list of a large fleet fits well inside this.
-const LONGEST_LINE: usize = 16 * 1024 * 1024;
+/// Events of a list that the owner applies in one step at most, a few microseconds each.
+pub const LIST_PIECE: usize = 256;
+/// Pieces that wait for the owner at most; the reader waits beyond that, and so does discovery.
+pub const PIECES_WAITING: usize = 2;
 
-/// Reads until the watch ends; says why it did. `known` is the generation of the last part that the owner has;
-/// `heard` is set once any line has come.
+/// Reads until the watch ends; says why it did. `known` is the generation of the last part that the owner has
+/// whole; `heard` is set once any line has come to its end.
 pub(crate) async fn read(
     body: &mut Incoming,
     known: &mut u64,
     heard: &mut bool,
     owner: &mpsc::Sender<Event>,
 ) -> Loss {
-    let broken = |fault: &str| Loss::Broken(fault.to_owned());
-    let mut line: Vec<u8> = Vec::new();
+    let mut reading = Reading { decoder: ListDecoder::default(), generation: None, piece: Vec::new() };
     loop {
         let frame = match timeout(SILENT_AFTER, body.frame()).await {
-            Err(_) => return broken("silent"),
-            Ok(None) => return broken("closed"),
+            Err(_) => return Loss::Broken("silent".into()),
+            Ok(None) => return Loss::Broken("closed".into()),
             Ok(Some(Err(e))) => return Loss::Broken(e.to_string()),
             Ok(Some(Ok(frame))) => frame,
         };
-        for byte in frame.into_data().unwrap_or_default() {
-            if byte != b'\n' {
-                line.push(byte);
-                if line.len() > LONGEST_LINE {
-                    return broken("a line has no end");
-                }
-                continue;
+        let Ok(bytes) = frame.into_data() else { continue };
+        if let Err(loss) = reading.take(&bytes, known, heard, owner).await {
+            return loss;
+        }
+    }
+}
+
+/// One watch that is being read.
+struct Reading {
+    decoder: ListDecoder,
+    /// Of the part that is being told.
+    generation: Option<u64>,
+    /// Not yet handed to the owner.
+    piece: Vec<ListEvent>,
+}
+
+impl Reading {
+    /// Takes these bytes, and hands on what they tell.
+    async fn take(
+        &mut self,
+        mut bytes: &[u8],
+        known: &mut u64,
+        heard: &mut bool,
+        owner: &mpsc::Sender<Event>,
+    ) -> Result<(), Loss> {
+        loop {
+            let event = match self.decoder.next(&mut bytes) {
+                Ok(Some(event)) => event,
+                Ok(None) => return self.hand_on(known, owner).await,
+                Err(fault) => return Err(self.unreadable(fault, owner).await),
+            };
+            *heard |= matches!(event, ListEvent::Ends | ListEvent::Heartbeat);
+            if event != ListEvent::Heartbeat {
+                self.piece.push(event);
             }
-            *heard = true;
-            if !line.trim_ascii().is_empty() {
-                let part = match ListPart::decode(&line) {
-                    Ok(part) => part,
-                    Err(fault) => return Loss::Broken(format!("a line that can't be read: {fault}")),
-                };
-                let generation = part.generation;
-                if owner.send(Event::List(part)).await.is_err() {
-                    return broken("the forwarder stops");
-                }
-                // Only now: a watch that is left for another address before this asks for it again.
-                *known = generation;
+            if self.piece.len() >= LIST_PIECE {
+                self.hand_on(known, owner).await?;
             }
-            line.clear();
         }
     }
+
+    async fn hand_on(&mut self, known: &mut u64, owner: &mpsc::Sender<Event>) -> Result<(), Loss> {
+        if self.piece.is_empty() {
+            return Ok(());
+        }
+        let mut ended = None;
+        for event in &self.piece {
+            match event {
+                ListEvent::Begins { generation, .. } => self.generation = Some(*generation),
+                ListEvent::Ends => ended = self.generation,
+                _ => {}
+            }
+        }
+        let piece = mem::take(&mut self.piece);
+        if owner.send(Event::List(piece)).await.is_err() {
+            return Err(Loss::Broken("the forwarder stops".into()));
+        }
+        // Only now: a watch that is left for another address before this asks for it again.
+        *known = ended.unwrap_or(*known);
+        Ok(())
+    }
+
+    async fn unreadable(&mut self, fault: String, owner: &mpsc::Sender<Event>) -> Loss {
+        let list = UnreadableList { fault, bytes: self.decoder.bytes() };
+        let loss = Loss::Broken(format!("a list that can't be read: {}", list.fault));
+        let _ = owner.send(Event::Unreadable(list)).await;
+        loss
+    }
 }
--- a/crates/forwarder/src/notices.rs
+++ b/crates/forwarder/src/notices.rs
@@ -12,7 +12,7 @@
 
 use crate::connections::Connection;
 use crate::discovery::moved;
-use crate::owner::Event;
+use crate::events::Event;
 use crate::seldom::Seldom;
 
 /// Notices in one message at most, well inside what a body may hold.
--- a/crates/forwarder/tests/loopback/crossings.rs
+++ b/crates/forwarder/tests/loopback/crossings.rs
@@ -256,7 +256,9 @@
     let room = |c: &Crowding, after| [1, 2, 3, 9].map(|t| c.has_room(TargetId(t), now + ms(after)));
     assert_eq!(room(&crowding, 29_000), [false, false, true, true]);
     assert_eq!(room(&crowding, 30_000), [true; 4]);
-    crowding.forget(|target| *target == TargetId(3));
+    crowding.forget(TargetId(1));
+    assert_eq!(room(&crowding, 0), [true, false, true, true], "another of the kind is still listed");
+    crowding.forget(TargetId(2));
     crowding.listed(TargetId(2), "small");
     assert_eq!(room(&crowding, 0), [true; 4], "nothing is kept of a kind that nothing is listed for");
 }
--- a/crates/protocol/src/hand_in.rs
+++ b/crates/protocol/src/hand_in.rs
@@ -86,7 +86,8 @@
     /// The list knows no such destination, or not yet; nothing was taken on.
     NoDestination,
     NotFound,
-    Healthy,
+    /// It takes envelopes on; with what staff should know all the same.
+    Healthy(Option<Fault>),
     /// Asked for its health while it stops.
     Leaving,
 }
@@ -105,7 +106,7 @@
             Answer::NoLength => StatusCode::LENGTH_REQUIRED,
             Answer::IdTaken => StatusCode::CONFLICT,
             Answer::NotFound => StatusCode::NOT_FOUND,
-            Answer::Healthy => StatusCode::OK,
+            Answer::Healthy(_) => StatusCode::OK,
         };
         let mut come_back = None;
         let body = match self {
@@ -114,6 +115,8 @@
                 Bytes::new()
             }
             Answer::Malformed(fault) => Bytes::from(fault + "\n"),
+            Answer::Healthy(None) => Bytes::from_static(b"ok\n"),
+            Answer::Healthy(Some(trouble)) => Bytes::from(format!("ok; {trouble}\n")),
             _ => Bytes::new(),
         };
         let mut response = Response::new(Full::new(body));
