Stories of long lists; one that can't be read rests by what it cost

A list that can't be read is asked for again after its bytes at 16 KiB a second, half an hour at most, half as long or half as long again by chance (unreadable_list.rs, without I/O, with a table test). Stories on loopback: 5,000 entries in pieces while envelopes come and go, a change and two whole lists behind them; a list that breaks off, and one that is left as discovery moves; a stop in the middle; a list that can't be read, said in the health check and left alone.

--- a/crates/forwarder/src/discovery.rs
+++ b/crates/forwarder/src/discovery.rs
@@ -87,9 +87,9 @@
         Ok(Err(ending)) => return Loss::Broken(format!("discovery: {ending:?}")),
         Ok(Ok(response)) => response,
     };
-    let (answer, mut body) = response.into_parts();
+    let (answer, body) = response.into_parts();
     if answer.status != http::StatusCode::OK {
         return Loss::Refused(format!("answered {}", answer.status), wait_of(&answer));
     }
-    read(&mut body, known, heard, owner).await
+    read(connection, body, known, heard, owner).await
 }
--- a/crates/forwarder/src/list_reader.rs
+++ b/crates/forwarder/src/list_reader.rs
@@ -1,13 +1,16 @@
 //! Reads the body of a watch: what it tells goes to the owner in pieces, as it comes.
 
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
 use std::mem;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use reeddock_protocol::{ListDecoder, ListEvent};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
+use crate::connections::Connection;
 use crate::discovery::SILENT_AFTER;
 use crate::events::Event;
 use crate::reopening::Loss;
@@ -19,9 +22,11 @@
 pub const PIECES_WAITING: usize = 2;
 
 /// Reads until the watch ends; says why it did. `known` is the generation of the last part that the owner has
-/// whole; `heard` is set once any line has come to its end.
+/// whole; `heard` is set once any line has come to its end. After a list that can't be read the connection is
+/// closed, and a rest is kept before this returns.
 pub(crate) async fn read(
-    body: &mut Incoming,
+    connection: Connection,
+    mut body: Incoming,
     known: &mut u64,
     heard: &mut bool,
     owner: &mpsc::Sender<Event>,
@@ -35,12 +40,34 @@
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(bytes) = frame.into_data() else { continue };
-        if let Err(loss) = reading.take(&bytes, known, heard, owner).await {
-            return loss;
+        match reading.take(&bytes, known, heard, owner).await {
+            Ok(()) => {}
+            Err(Stop::OwnerGone) => return Loss::Broken("the forwarder stops".into()),
+            Err(Stop::Unreadable(list)) => {
+                drop((connection, body));
+                return rest_after(list, owner).await;
+            }
         }
     }
 }
 
+/// Why a watch is not read any further.
+enum Stop {
+    OwnerGone,
+    Unreadable(UnreadableList),
+}
+
+/// Tells the owner of a list that can't be read, and lets it rest by what it cost.
+async fn rest_after(list: UnreadableList, owner: &mpsc::Sender<Event>) -> Loss {
+    let loss = Loss::Broken(format!("a list that can't be read: {}", list.fault));
+    // Only keeps forwarders apart.
+    let drawn = RandomState::new().hash_one(list.bytes) as f64 / u64::MAX as f64;
+    let rest = list.rest(drawn);
+    let _ = owner.send(Event::Unreadable(list)).await;
+    sleep(rest).await;
+    loss
+}
+
 /// One watch that is being read.
 struct Reading {
     decoder: ListDecoder,
@@ -58,12 +85,15 @@
         known: &mut u64,
         heard: &mut bool,
         owner: &mpsc::Sender<Event>,
-    ) -> Result<(), Loss> {
+    ) -> Result<(), Stop> {
         loop {
             let event = match self.decoder.next(&mut bytes) {
                 Ok(Some(event)) => event,
                 Ok(None) => return self.hand_on(known, owner).await,
-                Err(fault) => return Err(self.unreadable(fault, owner).await),
+                Err(fault) => {
+                    let bytes = self.decoder.bytes();
+                    return Err(Stop::Unreadable(UnreadableList { fault, bytes }));
+                }
             };
             *heard |= matches!(event, ListEvent::Ends | ListEvent::Heartbeat);
             if event != ListEvent::Heartbeat {
@@ -75,7 +105,7 @@
         }
     }
 
-    async fn hand_on(&mut self, known: &mut u64, owner: &mpsc::Sender<Event>) -> Result<(), Loss> {
+    async fn hand_on(&mut self, known: &mut u64, owner: &mpsc::Sender<Event>) -> Result<(), Stop> {
         if self.piece.is_empty() {
             return Ok(());
         }
@@ -89,17 +119,10 @@
         }
         let piece = mem::take(&mut self.piece);
         if owner.send(Event::List(piece)).await.is_err() {
-            return Err(Loss::Broken("the forwarder stops".into()));
+            return Err(Stop::OwnerGone);
         }
         // Only now: a watch that is left for another address before this asks for it again.
         *known = ended.unwrap_or(*known);
         Ok(())
     }
-
-    async fn unreadable(&mut self, fault: String, owner: &mpsc::Sender<Event>) -> Loss {
-        let list = UnreadableList { fault, bytes: self.decoder.bytes() };
-        let loss = Loss::Broken(format!("a list that can't be read: {}", list.fault));
-        let _ = owner.send(Event::Unreadable(list)).await;
-        loss
-    }
 }
--- a/crates/forwarder/tests/loopback/main.rs
+++ b/crates/forwarder/tests/loopback/main.rs
@@ -1,5 +1,6 @@
 //! One forwarder on loopback sockets.
 
 mod crossings;
+mod lists;
 mod stand_ins;
 mod stories;
--- a/crates/forwarder/tests/units.rs
+++ b/crates/forwarder/tests/units.rs
@@ -1,10 +1,13 @@
 //! The parts that do no I/O, each by itself.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use reeddock_forwarder::clock::Clock;
 use reeddock_forwarder::passage::{Arrival, Departure};
 use reeddock_forwarder::reopening::{Loss, Reopening, REFUSED_FIRST, REFUSED_MOST};
+use reeddock_forwarder::targets::{Place, PlaceChange, TargetTable};
+use reeddock_forwarder::unreadable_list::{UnreadableList, BYTES_A_SECOND, LONGEST_REST};
 use tokio::time::Instant;
 
 #[test]
@@ -106,3 +109,62 @@
     assert_eq!(next.as_nanos() % width.as_nanos(), 0);
     assert!(clock.next(Duration::ZERO) <= Instant::now());
 }
+
+#[test]
+fn a_list_that_cannot_be_read_rests_by_its_bytes() {
+    let table = [
+        (0, 0),
+        (1600, 97),
+        (16 * 1024, 1000),
+        (1024 * 1024, 64_000),
+        (28 * 1024 * 1024, 1_792_000),
+        (50_000_000, 1_800_000),
+        (u64::MAX, 1_800_000),
+    ];
+    for (bytes, millis) in table {
+        let list = UnreadableList { fault: "x".into(), bytes };
+        let mean = Duration::from_millis(millis);
+        assert_eq!(list.rest(0.5), mean, "{bytes}");
+        assert_eq!((list.rest(0.0), list.rest(1.0)), (mean / 2, mean + mean / 2), "{bytes}");
+        assert_eq!(list.rest(f64::INFINITY), list.rest(1.0));
+        // On average no more bytes a second than these, as far as a mended list may wait.
+        let cost = bytes as f64 / list.rest(0.5).as_secs_f64();
+        assert!(
+            list.rest(0.5) >= LONGEST_REST || bytes < 2000 || cost <= BYTES_A_SECOND as f64 * 1.01,
+            "{bytes}"
+        );
+    }
+}
+
+#[test]
+fn targets_are_numbered_once_and_a_forgotten_one_gets_another_number() {
+    let mut table = TargetTable::default();
+    let place = |port| Place { address: SocketAddr::from(([10, 0, 0, 1], port)), batch: 4 };
+    let long = "a name that does not fit into the row itself";
+    let ids: Vec<_> = (0..1000).map(|n| table.number(&format!("{long}-{n}"))).collect();
+    for (n, id) in ids.iter().enumerate() {
+        assert_eq!(table.number(&format!("{long}-{n}")), *id);
+        assert_eq!((table.get(*id), table.name(*id)), (None, Some(format!("{long}-{n}").as_str())));
+        assert_eq!(table.place(*id, place(n as u16)), PlaceChange::New);
+    }
+    assert_eq!(table.placed(), 1000);
+    for id in ids.iter().step_by(2) {
+        table.forget(*id);
+        table.forget(*id);
+        assert_eq!((table.get(*id), table.name(*id)), (None, None));
+        assert_eq!(table.place(*id, place(1)), PlaceChange::Same, "nothing is known of it");
+    }
+    assert_eq!(table.placed(), 500);
+    for (n, id) in ids.iter().enumerate() {
+        let again = table.number(&format!("{long}-{n}"));
+        assert_eq!(again == *id, n % 2 == 1, "{n}");
+        assert!(again == *id || !ids.contains(&again));
+    }
+    let kept = ids[1];
+    assert_eq!(table.get(kept), Some(place(1)));
+    assert_eq!(table.place(kept, place(1)), PlaceChange::Same);
+    let six = Place { address: "[::1]:9".parse().unwrap(), batch: 1 };
+    assert_eq!((table.place(kept, six), table.get(kept)), (PlaceChange::Moved, Some(six)));
+    table.forget(kept);
+    assert_eq!(table.placed(), 499);
+}
