A known list in the configuration is read entry by entry, not as a tree of values

Cause: the whole file went through serde_json::Value, some ten times the size of the list. Change: a typed visitor hands the entries on; up to 10,000 are kept until they are applied, a longer list is read a second time as it is applied, so that it is never in memory whole. At SIGHUP a file over 1 MiB is read in a thread beside the event loop. Faults name the file, the entry and the place.

--- a/crates/daemon/src/duties.rs
+++ b/crates/daemon/src/duties.rs
@@ -4,13 +4,16 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use reeddock_forwarder::known_list::KnownList;
 use reeddock_forwarder::limits::Allowance;
 use reeddock_forwarder::Post;
-use reeddock_protocol::ListPart;
+use reeddock_protocol::{Entry, ListPart};
 use reeddock_terms::{terms, Reach, Shape};
 use serde_json::Value;
 use tokio::sync::watch;
 
+use crate::known::{self, Contents, Known};
+
 /// A planned stop is followed by a kill 3.7 s later at the soonest, and new clients come for 0.4 s.
 const LEAVE_WITHIN: Duration = Duration::from_millis(3500);
 const CLIENTS_COME_FOR: Duration = Duration::from_millis(800);
@@ -34,16 +37,48 @@
     }
 }
 
+/// Entries of a known list up to which it is kept in memory until it is applied; a longer one is read again.
+const ENTRIES_KEPT: usize = 10_000;
+
+fn keep(kept: &mut Option<Vec<Entry>>, entry: Entry) {
+    if kept.as_ref().is_some_and(|kept| kept.len() >= ENTRIES_KEPT) {
+        *kept = None;
+    }
+    if let Some(kept) = kept {
+        kept.push(entry);
+    }
+}
+
+/// The list that was found in a file, with its entries if they were kept.
+fn known_list(file: &Path, Known { generation, entries }: Known, kept: Option<Vec<Entry>>) -> KnownList {
+    if let Some(entries) = kept {
+        return ListPart { generation, whole: true, entries }.into();
+    }
+    let file = file.to_owned();
+    KnownList::new(generation, entries, Box::new(move |each| known::read(&file, each).map(drop)))
+}
+
+/// A configuration longer than this is not read between two events.
+const LONG_FILE: u64 = 1024 * 1024;
+
+/// Reads a file again for a process that serves: a long one in a thread beside it.
+pub async fn read_again(file: &Path) -> Result<Standing, String> {
+    let read = |file: &Path| read(file, PathBuf::new()).map(|(.., standing)| standing);
+    let long = std::fs::metadata(file).is_ok_and(|data| data.len() > LONG_FILE);
+    if !long {
+        return read(file);
+    }
+    let file = file.to_owned();
+    tokio::task::spawn_blocking(move || read(&file)).await.map_err(|e| e.to_string())?
+}
+
 pub fn read(file: &Path, state: PathBuf) -> Result<(Post, watch::Sender<SocketAddr>, Standing), String> {
     let name = file.display();
-    let text = std::fs::read_to_string(file).map_err(|e| format!("cannot read {name}: {e}"))?;
-    let mut told: Value = serde_json::from_str(&text).map_err(|e| format!("{name} is not JSON: {e}"))?;
-    let fixed = ["listen", "limits", "settings"].map(|part| (part, told[part].clone()));
-    let known = told.get_mut("known").map(Value::take);
-    let known = match known.filter(|k| !k.is_null()) {
-        Some(list) => ListPart::decode_value(list).map_err(|e| format!("{name}: known: {e}"))?,
-        None => ListPart { generation: 0, whole: true, entries: Vec::new() },
-    };
+    let mut kept = Some(Vec::new());
+    let Contents { parts: told, known } = known::read(file, &mut |entry| keep(&mut kept, entry))?;
+    let fixed =
+        ["listen", "limits", "settings"].map(|part| (part, told.get(part).cloned().unwrap_or_default()));
+    let known = known.map_or_else(KnownList::none, |known| known_list(file, known, kept));
     let missing = |what: &str| format!("{name}: {what} is missing or malformed");
     let address = |what: &str| -> Result<SocketAddr, String> {
         told.get(what).and_then(Value::as_str).and_then(|a| a.parse().ok()).ok_or_else(|| missing(what))
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! The program `reeddock`: one forwarder on sockets.
 
 mod duties;
+mod known;
 mod owed;
 
 use std::ffi::OsString;
@@ -143,8 +144,8 @@
         post.sync = order.sync;
         let rereading = async {
             while hangup.recv().await.is_some() {
-                match duties::read(&file, PathBuf::new()) {
-                    Ok((.., now)) => {
+                match duties::read_again(&file).await {
+                    Ok(now) => {
                         let needs_restart = now.needs_restart(&started);
                         tracing::info!(discovery = %now.discovery, ?needs_restart, "read the configuration again");
                         moves.send_replace(now.discovery);
@@ -170,7 +171,7 @@
     let (post, _, started) = duties::read(order.config()?.as_ref(), Default::default())?;
     let limits = reeddock_forwarder::limits::Limits::derive(post.allowance);
     println!("listens on {}, discovery and notices at {}", post.listen, started.discovery);
-    println!("{} targets known, generation {}", post.known.entries.len(), post.known.generation);
+    println!("{} targets known, generation {}", post.known.targets, post.known.generation);
     for category in &post.terms.categories {
         let (name, effect) = (&category.name, category.effect);
         let effect = effect.map_or("effect not understood, so effectful".into(), |e| format!("{e:?}"));
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`passage`] | what has passed on a connection |
 //! | [`crowding`] | which kinds of target have no room for idle connections |
 //! | [`discovery`] | the watch on the list of targets |
+//! | [`known_list`] | the list as it was last known |
 //! | [`list_reader`] | reads what a watch tells |
 //! | [`list_status`] | what the health check says of the list |
 //! | [`unreadable_list`] | when a list that can't be read is asked for again |
@@ -27,6 +28,7 @@
 pub mod discovery;
 pub mod events;
 pub mod intake;
+pub mod known_list;
 pub mod limits;
 pub mod list_reader;
 pub mod list_status;
@@ -48,7 +50,6 @@
 
 use reeddock::{Forwarder, Terms};
 use reeddock_ledger::Ledger;
-use reeddock_protocol::ListPart;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{interval, sleep, Instant};
@@ -58,6 +59,7 @@
 use connections::Connections;
 use events::Event;
 use intake::Door;
+use known_list::KnownList;
 use limits::{Allowance, Limits};
 use list_reader::PIECES_WAITING;
 use list_status::ListStatus;
@@ -73,7 +75,7 @@
     pub state: PathBuf,
     pub allowance: Allowance,
     /// The list of targets as it was last known.
-    pub known: ListPart,
+    pub known: KnownList,
     pub terms: Terms,
     /// What comes in is told to the module at most this often.
     pub tick: Duration,
@@ -125,9 +127,7 @@
         list_status: list_status.clone(),
         state,
     };
-    if !post.known.entries.is_empty() {
-        owner.list(post.known);
-    }
+    owner.known_list(post.known).map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault))?;
     owner.take_up();
     tokio::spawn(notices::tell(post.discovery.clone(), untold, events.clone()));
     tokio::spawn(discovery::follow(post.discovery, generation, reopening, watched));
--- a/crates/forwarder/src/owner/listing.rs
+++ b/crates/forwarder/src/owner/listing.rs
@@ -1,9 +1,10 @@
 //! The list of targets, told to the module entry by entry.
 
 use reeddock::{Listing, Standing, TargetId};
-use reeddock_protocol::{Entry, ListEvent, ListPart};
+use reeddock_protocol::{Entry, Fault, ListEvent};
 
 use super::Owner;
+use crate::known_list::KnownList;
 use crate::targets::{Place, PlaceChange};
 use crate::unreadable_list::UnreadableList;
 
@@ -32,11 +33,15 @@
         }
     }
 
-    /// Applies a part that is there whole.
-    pub fn list(&mut self, part: ListPart) {
-        self.list_begins(part.generation, part.whole);
-        part.entries.into_iter().for_each(|entry| self.listed(entry));
+    /// Applies the list as it was last known, before anything else is heard. One without entries is none.
+    pub fn known_list(&mut self, known: KnownList) -> Result<(), Fault> {
+        if known.targets == 0 {
+            return Ok(());
+        }
+        self.list_begins(known.generation, true);
+        known.each(|entry| self.listed(entry))?;
         self.list_ends();
+        Ok(())
     }
 
     fn list_begins(&mut self, generation: u64, whole: bool) {
--- a/crates/forwarder/tests/loopback/stand_ins.rs
+++ b/crates/forwarder/tests/loopback/stand_ins.rs
@@ -296,7 +296,7 @@
             discovery: self.moves.subscribe(),
             state: self.folder.clone(),
             allowance: self.allowance,
-            known: ListPart::decode(known.as_bytes()).unwrap(),
+            known: ListPart::decode(known.as_bytes()).unwrap().into(),
             terms,
             tick: self.tick,
             sync: Default::default(),
--- a/crates/protocol/src/list/mod.rs
+++ b/crates/protocol/src/list/mod.rs
@@ -100,15 +100,9 @@
 impl ListPart {
     /// Decodes a part that is there whole. What may be large is read with [`ListDecoder`].
     pub fn decode(line: &[u8]) -> Result<ListPart, Fault> {
-        serde_json::from_slice(line).map(ListPart::of).map_err(|e| e.to_string())
-    }
-
-    pub fn decode_value(value: serde_json::Value) -> Result<ListPart, Fault> {
-        serde_json::from_value(value).map(ListPart::of).map_err(|e| e.to_string())
-    }
-
-    fn of(Line { generation, reset, instances }: Line) -> ListPart {
-        ListPart { generation, whole: reset, entries: instances }
+        let Line { generation, reset, instances } =
+            serde_json::from_slice(line).map_err(|e| e.to_string())?;
+        Ok(ListPart { generation, whole: reset, entries: instances })
     }
 }
 
