One deadline for the next call for the watch, kept after losses in any order

Cause: the terms let a change count as told 6 s after discovery had it, whatever became of the calls between. The watch rested 6 s on average after a refusal, drawn up to 12 s and doubled to 48 s, and a second try of a silent watch came 5.65 s after its last line at the soonest (read from the code).

Change: `watch_schedule.rs` (was `reopening.rs`) plans one call in 5 s at a phase of its own from the seed, so that an answer within 1 s is in time. A silence is noticed after 3 s and has two calls before its deadline; breaks have two quick calls until a watch has stood for 5 s; an unanswered call is given up when the next is due. A told wait is kept for half of a period at most. Periods are a typed struct, so that stories on sockets can shorten them.

Tests: orders of 5 out of 12 fates (248,832) on a simulated clock; evenness of 300 simulated forwarders (1.4 times the mean in half a second after a common refusal, 2.5 with a common wait, 5.5 after a common silence); storms; on sockets 18 scripts of losses with six phases each, periods at two fifths.

Replaced tests: a fleet of 300 under ten calls a second, which has to call less often than the term allows. The test of an asked wait kept for 40 s contradicts the term.

--- a/crates/forwarder/src/discovery.rs
+++ b/crates/forwarder/src/discovery.rs
@@ -1,21 +1,16 @@
 //! The watch on the list of targets, opened again whenever it breaks or falls silent.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use reeddock_protocol::{wait_of, watch};
 use tokio::sync::{mpsc, watch as told};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::connections::Connection;
 use crate::list_reader::read;
 use crate::owner::Event;
-use crate::reopening::{Loss, Reopening};
 use crate::seldom::Seldom;
-
-/// An empty line comes every two seconds; two that stay away are a silence.
-pub(crate) const SILENT_AFTER: Duration = Duration::from_millis(4500);
-const OPEN_WITHIN: Duration = Duration::from_secs(1);
+use crate::watch_schedule::{Loss, Periods, WatchSchedule};
 
 /// Where discovery is from now on; never, once nobody can tell that any more.
 pub(crate) async fn moved(at: &mut told::Receiver<SocketAddr>) {
@@ -28,29 +23,31 @@
 pub async fn follow(
     mut at: told::Receiver<SocketAddr>,
     mut known: u64,
-    mut reopening: Reopening,
+    mut schedule: WatchSchedule,
     owner: mpsc::Sender<Event>,
 ) {
+    let start = Instant::now();
     let mut seldom = Seldom::default();
     loop {
-        let before = known;
         let mut heard = false;
         let discovery = *at.borrow_and_update();
+        let call = Call {
+            discovery,
+            give_up_at: start + schedule.begin(start.elapsed()),
+            periods: schedule.periods(),
+        };
         let loss = tokio::select! {
-            loss = listen(discovery, &mut known, &mut heard, &owner) => loss,
+            loss = call.listen(&mut known, &mut heard, &owner) => loss,
             () = moved(&mut at) => {
-                reopening.start_over();
+                schedule.moved(start.elapsed());
                 continue;
             }
         };
-        if heard || known != before {
-            reopening.start_over();
-        }
-        let rest = reopening.rest(&loss);
+        let next = start + schedule.lost(start.elapsed(), &loss, heard);
         if let Some(more) = seldom.now() {
-            let (Loss::Broken(fault) | Loss::Refused(fault, _)) = &loss;
+            let rest = next.saturating_duration_since(Instant::now());
             tracing::warn!(
-                %fault,
+                fault = %loss,
                 ?rest,
                 more,
                 "the watch on the list of targets ended and is opened again after a rest"
@@ -60,36 +57,39 @@
             return;
         }
         tokio::select! {
-            () = sleep(rest) => {}
-            () = moved(&mut at) => reopening.start_over(),
+            () = sleep_until(next) => {}
+            () = moved(&mut at) => schedule.moved(start.elapsed()),
         }
     }
 }
 
-/// One watch, until it ends; says why it did.
-async fn listen(
+/// One call for the watch.
+struct Call {
     discovery: SocketAddr,
-    known: &mut u64,
-    heard: &mut bool,
-    owner: &mpsc::Sender<Event>,
-) -> Loss {
-    let broken = |fault: &str| Loss::Broken(fault.to_owned());
-    let request = match watch(discovery, *known) {
-        Ok(request) => request,
-        Err(fault) => return Loss::Broken(fault),
-    };
-    let mut connection = match Connection::open(discovery, OPEN_WITHIN, None).await {
-        Ok(connection) => connection,
-        Err(ending) => return Loss::Broken(format!("discovery: {ending:?}")),
-    };
-    let response = match timeout(SILENT_AFTER, connection.send(request)).await {
-        Err(_) => return broken("no answer"),
-        Ok(Err(ending)) => return Loss::Broken(format!("discovery: {ending:?}")),
-        Ok(Ok(response)) => response,
-    };
-    let (answer, mut body) = response.into_parts();
-    if answer.status != http::StatusCode::OK {
-        return Loss::Refused(format!("answered {}", answer.status), wait_of(&answer));
+    give_up_at: Instant,
+    periods: Periods,
+}
+
+impl Call {
+    /// Opens the watch and reads it until it ends; says why it did.
+    async fn listen(self, known: &mut u64, heard: &mut bool, owner: &mpsc::Sender<Event>) -> Loss {
+        let request = match watch(self.discovery, *known) {
+            Ok(request) => request,
+            Err(fault) => return Loss::Broken(fault),
+        };
+        let mut connection = match Connection::open(self.discovery, self.periods.connect, None).await {
+            Ok(connection) => connection,
+            Err(ending) => return Loss::Broken(format!("discovery: {ending:?}")),
+        };
+        let response = match timeout_at(self.give_up_at, connection.send(request)).await {
+            Err(_) => return Loss::GivenUp,
+            Ok(Err(ending)) => return Loss::Broken(format!("discovery: {ending:?}")),
+            Ok(Ok(response)) => response,
+        };
+        let (answer, mut body) = response.into_parts();
+        if answer.status != http::StatusCode::OK {
+            return Loss::Refused(format!("answered {}", answer.status), wait_of(&answer));
+        }
+        read(&mut body, known, heard, self.periods.silent_after, owner).await
     }
-    read(&mut body, known, heard, owner).await
 }
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`crowding`] | which kinds of target have no room for idle connections |
 //! | [`discovery`] | the watch on the list of targets |
 //! | [`list_reader`] | reads what a watch tells |
+//! | [`watch_schedule`] | when that watch is opened again after a loss |
 //! | [`notices`] | tells the platform of what was not delivered |
 //! | [`limits`] | what the machine has room for |
 //! | [`seldom`] | log lines that would come in floods |
@@ -27,8 +28,8 @@
 pub mod notices;
 pub mod owner;
 pub mod passage;
-pub mod reopening;
 pub mod seldom;
+pub mod watch_schedule;
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -51,7 +52,7 @@
 use intake::Door;
 use limits::{Allowance, Limits};
 use owner::{Event, Owner, State};
-use reopening::Reopening;
+use watch_schedule::{Periods, WatchSchedule};
 
 /// What one forwarder is told at its start.
 pub struct Post {
@@ -96,7 +97,7 @@
     let mut state = State::default();
     let batches: BTreeMap<String, usize> =
         post.terms.kinds.iter().map(|k| (k.0.clone(), k.2.unwrap_or(1).max(1) as usize)).collect();
-    let reopening = Reopening::new(post.terms.seed);
+    let schedule = WatchSchedule::new(Periods::default(), post.terms.seed);
     let forwarder = Forwarder::open(clock.now(), post.terms, state.desk());
     let generation = post.known.generation;
     let mut owner = Owner {
@@ -114,7 +115,7 @@
     owner.list(post.known);
     owner.take_up();
     tokio::spawn(notices::tell(post.discovery.clone(), untold, events.clone()));
-    tokio::spawn(discovery::follow(post.discovery, generation, reopening, events.clone()));
+    tokio::spawn(discovery::follow(post.discovery, generation, schedule, events.clone()));
     tokio::spawn(async move {
         let mut tick = interval(Duration::from_millis(500));
         loop {
--- a/crates/forwarder/src/list_reader.rs
+++ b/crates/forwarder/src/list_reader.rs
@@ -1,31 +1,33 @@
 //! Reads the body of a watch: parts of the list of targets, one a line, handed to the owner as they come.
 
+use std::time::Duration;
+
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use reeddock_protocol::ListPart;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::discovery::SILENT_AFTER;
 use crate::owner::Event;
-use crate::reopening::Loss;
+use crate::watch_schedule::Loss;
 
 /// The whole list of a large fleet fits well inside this.
 const LONGEST_LINE: usize = 16 * 1024 * 1024;
 
 /// Reads until the watch ends; says why it did. `known` is the generation of the last part that the owner has;
-/// `heard` is set once any line has come.
+/// `heard` is set once any line has come. Nothing for `silent_after` is a silence.
 pub(crate) async fn read(
     body: &mut Incoming,
     known: &mut u64,
     heard: &mut bool,
+    silent_after: Duration,
     owner: &mpsc::Sender<Event>,
 ) -> Loss {
     let broken = |fault: &str| Loss::Broken(fault.to_owned());
     let mut line: Vec<u8> = Vec::new();
     loop {
-        let frame = match timeout(SILENT_AFTER, body.frame()).await {
-            Err(_) => return broken("silent"),
+        let frame = match timeout(silent_after, body.frame()).await {
+            Err(_) => return Loss::Silent,
             Ok(None) => return broken("closed"),
             Ok(Some(Err(e))) => return Loss::Broken(e.to_string()),
             Ok(Some(Ok(frame))) => frame,
--- a/crates/forwarder/tests/loopback/main.rs
+++ b/crates/forwarder/tests/loopback/main.rs
@@ -3,3 +3,4 @@
 mod crossings;
 mod stand_ins;
 mod stories;
+mod watches;
--- a/crates/forwarder/tests/loopback/stand_ins.rs
+++ b/crates/forwarder/tests/loopback/stand_ins.rs
@@ -23,7 +23,7 @@
 pub const OK: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 pub const NO_CONTENT: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 
-pub fn ms(n: u64) -> Duration {
+pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
--- a/crates/forwarder/tests/units.rs
+++ b/crates/forwarder/tests/units.rs
@@ -4,7 +4,6 @@
 
 use reeddock_forwarder::clock::Clock;
 use reeddock_forwarder::passage::{Arrival, Departure};
-use reeddock_forwarder::reopening::{Loss, Reopening, REFUSED_FIRST, REFUSED_MOST};
 use tokio::time::Instant;
 
 #[test]
@@ -47,53 +46,6 @@
     assert!(empty.complete());
 }
 
-/// Takes ten watches a second, and refused calls use that up too.
-fn overbooked(fleet: u64, span: Duration) -> usize {
-    let mut calls: Vec<(Duration, Reopening)> = (0..fleet)
-        .map(|seed| {
-            let mut reopening = Reopening::new(seed);
-            (reopening.rest(&Loss::Broken("reset".into())), reopening)
-        })
-        .collect();
-    let mut lately: Vec<Duration> = Vec::new();
-    let mut watching = 0;
-    loop {
-        calls.sort_by_key(|c| c.0);
-        let Some((now, reopening)) = calls.first_mut().filter(|c| c.0 < span) else { return watching };
-        lately.retain(|t| now.saturating_sub(*t) < Duration::from_secs(1));
-        lately.push(*now);
-        if lately.len() <= 10 {
-            watching += 1;
-            calls.remove(0);
-        } else {
-            *now += reopening.rest(&Loss::Refused("503".into(), None));
-        }
-    }
-}
-
-#[test]
-fn a_fleet_that_lost_its_watches_together_does_not_keep_discovery_overbooked() {
-    for fleet in [3, 30, 100, 300] {
-        let watching = overbooked(fleet, Duration::from_secs(120));
-        assert_eq!(watching as u64, fleet, "of {fleet}");
-    }
-    let soon = overbooked(100, Duration::from_secs(20));
-    assert!(soon >= 60, "after 20 s {soon} of 100");
-}
-
-#[test]
-fn an_asked_wait_is_kept_and_a_line_ends_the_backing_off() {
-    let wait = Duration::from_secs(40);
-    let mut reopening = Reopening::new(7);
-    for _ in 0..20 {
-        let rest = reopening.rest(&Loss::Refused("503".into(), Some(wait)));
-        assert!(rest >= wait && rest <= wait + 2 * REFUSED_MOST, "{rest:?}");
-    }
-    reopening.start_over();
-    assert!(reopening.rest(&Loss::Broken("reset".into())) < Duration::from_millis(150));
-    assert!(reopening.rest(&Loss::Refused("503".into(), None)) <= 2 * REFUSED_FIRST);
-}
-
 #[test]
 fn what_was_stored_is_read_as_the_same_time_and_the_grid_is_kept() {
     let clock = Clock::start();
