--- a/crates/forwarder/src/list_reader.rs
+++ b/crates/forwarder/src/list_reader.rs
@@ -4,6 +4,8 @@
 use std::hash::BuildHasher;
 use std::mem;
 
+use std::time::Duration;
+
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use reeddock_protocol::{ListDecoder, ListEvent};
@@ -11,10 +13,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connections::Connection;
-use crate::discovery::SILENT_AFTER;
 use crate::events::Event;
-use crate::reopening::Loss;
 use crate::unreadable_list::UnreadableList;
+use crate::watch_schedule::Loss;
 
 /// Events of a list that the owner applies in one step at most, a few microseconds each.
 pub const LIST_PIECE: usize = 256;
@@ -23,18 +24,19 @@
 
 /// Reads until the watch ends; says why it did. `known` is the generation of the last part that the owner has
 /// whole; `heard` is set once any line has come to its end. After a list that can't be read the connection is
-/// closed, and a rest is kept before this returns.
+/// closed, and a rest is kept before this returns. Nothing for `silent_after` is a silence.
 pub(crate) async fn read(
     connection: Connection,
     mut body: Incoming,
     known: &mut u64,
     heard: &mut bool,
+    silent_after: Duration,
     owner: &mpsc::Sender<Event>,
 ) -> Loss {
     let mut reading = Reading { decoder: ListDecoder::default(), generation: None, piece: Vec::new() };
     loop {
-        let frame = match timeout(SILENT_AFTER, body.frame()).await {
-            Err(_) => return Loss::Broken("silent".into()),
+        let frame = match timeout(silent_after, body.frame()).await {
+            Err(_) => return Loss::Silent,
             Ok(None) => return Loss::Broken("closed".into()),
             Ok(Some(Err(e))) => return Loss::Broken(e.to_string()),
             Ok(Some(Ok(frame))) => frame,
--- a/crates/forwarder/tests/loopback/main.rs
+++ b/crates/forwarder/tests/loopback/main.rs
@@ -4,3 +4,4 @@
 mod lists;
 mod stand_ins;
 mod stories;
+mod watches;
