Streams of the recorder draw coarse times and longer steps; the bench of memory checks its load

Change: each stream draws its grain of time, from a nanosecond to 250 ms, and its longest step, up to 1.5 s; both benches share the first turns and check that nothing held was sent.

--- a/benches/load/mod.rs
+++ b/benches/load/mod.rs
@@ -9,6 +9,7 @@
 
 /// Answers and hand-ins in a turn.
 pub const IN_A_TURN: usize = 16;
+const FIRST_TURNS: usize = 4;
 const TICK: Duration = Duration::from_millis(5);
 const LIMIT: Duration = Duration::from_secs(100_000);
 /// Outlasts any bench.
@@ -146,8 +147,11 @@
         self.forwarder.turn(self.now, &mut self.host);
     }
 
-    /// Dispatches that are out: those of the last turn, where what is to be held is held.
-    pub fn out(&self) -> usize {
-        self.host.out.len()
+    /// Some turns, after which the calls that are out stay the same in number.
+    pub fn first_turns(&mut self) {
+        for _ in 0..FIRST_TURNS {
+            self.turn();
+        }
+        assert_eq!(self.host.out.len(), IN_A_TURN, "{:?}: what is to be held was sent", self.size);
     }
 }
--- a/benches/memory.rs
+++ b/benches/memory.rs
@@ -21,8 +21,6 @@
     (1_200_000, 320_000),
 ];
 const SLOTS: u64 = 64;
-/// Enough to fill the slots.
-const TURNS: usize = 4;
 /// Under so many of them a figure for each would be that of the process.
 const LEAST_COUNTED: u64 = 10_000;
 /// Marks the process that measures one size.
@@ -56,9 +54,7 @@
     let listed = memory("VmRSS")?;
     load.hold();
     let loaded = memory("VmRSS")?;
-    for _ in 0..TURNS {
-        load.turn();
-    }
+    load.first_turns();
     let peak = memory("VmHWM")?;
     let megabytes = |kilobytes: u64| format!("{:.1}", kilobytes.saturating_sub(empty) as f64 / 1_024.0);
     Ok(row([
--- a/benches/turns.rs
+++ b/benches/turns.rs
@@ -11,9 +11,6 @@
 
 use load::{Load, Size, IN_A_TURN};
 
-/// Turns before the first that is measured.
-const FIRST_TURNS: usize = 4;
-
 /// Held, destinations, slots.
 const SIZES: [(usize, u64, u64); 17] = [
     (10, 10, 64),
@@ -40,10 +37,7 @@
     let mut load = Load::open(size);
     load.list();
     load.hold();
-    for _ in 0..FIRST_TURNS {
-        load.turn();
-    }
-    assert_eq!(load.out(), IN_A_TURN, "{size:?}: what is to be held was sent");
+    load.first_turns();
     load
 }
 
--- a/crates/recorder/src/streams/listing.rs
+++ b/crates/recorder/src/streams/listing.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg32;
 use reeddock::{DestinationId, Outcome, Standing, TargetId};
 
-use super::setting::{millis, Setting, ZONES};
+use super::setting::{millis, rounded, Setting, ZONES};
 
 /// One line of the list.
 #[derive(Clone, Debug)]
@@ -120,9 +120,16 @@
     }
 
     /// How a call that is sent now ends, and after what time.
-    pub fn answer(&self, target: TargetId, time_out: Duration, chance: &mut Pcg32) -> (Outcome, Duration) {
+    pub fn answer(
+        &self,
+        target: TargetId,
+        time_out: Duration,
+        setting: &Setting,
+        chance: &mut Pcg32,
+    ) -> (Outcome, Duration) {
         let mood = self.moods.get(&target).copied().unwrap_or(Mood::Well);
-        let (outcome, after) = drawn_answer(mood, time_out, chance);
+        let (outcome, after) = drawn_answer(mood, time_out, setting.grain, chance);
+        let after = rounded(after, setting.grain);
         if after >= time_out {
             (Outcome::TimedOut, time_out)
         } else {
@@ -151,36 +158,36 @@
     setting.kinds[number].clone()
 }
 
-fn drawn_answer(mood: Mood, time_out: Duration, chance: &mut Pcg32) -> (Outcome, Duration) {
+fn drawn_answer(mood: Mood, time_out: Duration, grain: Duration, chance: &mut Pcg32) -> (Outcome, Duration) {
     match mood {
-        Mood::Well => (usual_outcome(chance), millis(chance, 2, 150)),
+        Mood::Well => (usual_outcome(chance, grain), millis(chance, 2, 150)),
         Mood::Slow => (Outcome::Completed, time_out.mul_f64(chance.random_range(0.2..1.3))),
         Mood::Refusing => (Outcome::Full(None), millis(chance, 1, 20)),
-        Mood::RefusingWithWaits => (Outcome::Full(Some(wait(chance))), millis(chance, 1, 20)),
+        Mood::RefusingWithWaits => (Outcome::Full(Some(wait(chance, grain))), millis(chance, 1, 20)),
         Mood::Failing if chance.random_bool(0.5) => (Outcome::Error, millis(chance, 1, 60)),
         Mood::Failing => (Outcome::Broken, millis(chance, 1, 400)),
         Mood::Silent => (Outcome::TimedOut, time_out),
         Mood::Unreachable => (Outcome::NoConnection, millis(chance, 0, 1_000)),
-        Mood::Erratic => (any_outcome(chance), millis(chance, 0, 500)),
+        Mood::Erratic => (any_outcome(chance, grain), millis(chance, 0, 500)),
     }
 }
 
-fn usual_outcome(chance: &mut Pcg32) -> Outcome {
+fn usual_outcome(chance: &mut Pcg32, grain: Duration) -> Outcome {
     match chance.random_range(0..100_u32) {
         0..=2 => Outcome::Error,
         3 => Outcome::Unreadable,
         4 => Outcome::Unsent,
-        5..=6 => Outcome::Full(chance.random_bool(0.5).then(|| wait(chance))),
+        5..=6 => Outcome::Full(chance.random_bool(0.5).then(|| wait(chance, grain))),
         _ => Outcome::Completed,
     }
 }
 
-pub fn any_outcome(chance: &mut Pcg32) -> Outcome {
+fn any_outcome(chance: &mut Pcg32, grain: Duration) -> Outcome {
     match chance.random_range(0..10_u32) {
         0..=1 => Outcome::Completed,
         2 => Outcome::Error,
         3 => Outcome::Full(None),
-        4 => Outcome::Full(Some(wait(chance))),
+        4 => Outcome::Full(Some(wait(chance, grain))),
         5 => Outcome::TimedOut,
         6 => Outcome::NoConnection,
         7 => Outcome::Broken,
@@ -190,11 +197,12 @@
 }
 
 /// A wait that a destination asks for, from none to one past most limits.
-pub fn wait(chance: &mut Pcg32) -> Duration {
-    match chance.random_range(0..10_u32) {
+pub fn wait(chance: &mut Pcg32, grain: Duration) -> Duration {
+    let drawn = match chance.random_range(0..10_u32) {
         0 => Duration::ZERO,
         1..=4 => millis(chance, 10, 900),
         5..=8 => millis(chance, 1_000, 5_000),
         _ => millis(chance, 20_000, 60_000),
-    }
+    };
+    rounded(drawn, grain)
 }
--- a/crates/recorder/src/streams/player.rs
+++ b/crates/recorder/src/streams/player.rs
@@ -12,13 +12,15 @@
 };
 
 use super::listing::{wait, Line, Targets};
-use super::setting::{millis, Setting, KEYS};
+use super::setting::{millis, rounded, Setting, KEYS};
 use crate::recording::Tape;
 use crate::tee::{HandIn, RecordedForwarder};
 
 /// A wake comes late by no more than a host's timer is, and may come this early, as timers round down.
 const EARLY: Duration = Duration::from_micros(600);
 const HOUR: Duration = Duration::from_secs(3_600);
+/// Added to some limits: the module answers so long before one, and that is to meet other deadlines.
+const MOMENT: Duration = Duration::from_millis(10);
 /// Most lines of a list that are told in one step, where it is told in pieces.
 const PIECE: usize = 40;
 
@@ -171,12 +173,11 @@
     fn pass_time(&mut self) {
         let drawn = match self.chance.random_range(0..1_000_u32) {
             0..=149 => Duration::ZERO,
-            150..=919 => millis(&mut self.chance, 1, 100),
+            150..=919 => self.setting.longest_step.mul_f64(self.chance.random_range(0.0..1.0)),
             920..=996 => millis(&mut self.chance, 1_000, 8_000),
             _ => HOUR,
         };
-        let odd = Duration::from_nanos(self.chance.random_range(0..1_000_000));
-        let to = self.now + drawn + if self.setting.whole_milliseconds { Duration::ZERO } else { odd };
+        let to = self.now + rounded(drawn, self.setting.grain);
         // A machine that stood still misses its alarms; any other wakes at the first of them.
         let first = self.alarms.first().copied().filter(|_| drawn < HOUR);
         let early = if self.one_in(4) { EARLY } else { Duration::ZERO };
@@ -238,7 +239,7 @@
             return;
         }
         let Some(target) = self.targets.any(&mut self.chance) else { return };
-        let wait = wait(&mut self.chance);
+        let wait = wait(&mut self.chance, self.setting.grain);
         self.module.told_to_wait(self.now, target, wait);
         self.module.note_waits_with(target);
     }
@@ -380,13 +381,14 @@
         } else {
             Duration::ZERO
         };
+        let odd = if self.one_in(4) { MOMENT } else { Duration::ZERO };
         let tenant = self.below(self.setting.tenants.len() + 1);
         HandIn {
             id: EnvelopeId(Arc::from(format!("e{:06}", self.handed_in))),
             category: if strange { "unknown".to_owned() } else { name },
             tenant: self.setting.tenants.get(tenant).cloned(),
             key: (ordered || self.one_in(10)).then(|| KeyId(self.chance.random_range(0..KEYS))),
-            outer_limit: self.now + (outer_limit - gone),
+            outer_limit: self.now + (outer_limit - gone) + odd,
             destination,
         }
     }
@@ -477,7 +479,7 @@
         let Some(dispatches) = self.open.get_mut(&id) else { return };
         let no = DispatchNo(*dispatches);
         *dispatches += 1;
-        let (outcome, after) = self.targets.answer(target, spans.time_out, &mut self.chance);
+        let (outcome, after) = self.targets.answer(target, spans.time_out, &self.setting, &mut self.chance);
         let mut due = self.now + after;
         let mut ends_as = outcome;
         // What travels together mostly ends together.
--- a/crates/recorder/src/streams/setting.rs
+++ b/crates/recorder/src/streams/setting.rs
@@ -11,6 +11,20 @@
 /// Most keys that the ordered envelopes of a stream are about.
 pub const KEYS: u64 = 4;
 
+/// Coarse ones are as long as much that the module derives from its terms, so that its deadlines meet.
+const GRAINS: [Duration; 4] = [
+    Duration::from_nanos(1),
+    Duration::from_millis(1),
+    Duration::from_millis(10),
+    Duration::from_millis(250),
+];
+const LONGEST_STEPS: [Duration; 4] = [
+    Duration::from_millis(20),
+    Duration::from_millis(100),
+    Duration::from_millis(100),
+    Duration::from_millis(1_500),
+];
+
 /// A category as the programs of a stream know it.
 pub struct Category {
     pub name: String,
@@ -31,14 +45,23 @@
     pub burst: u32,
     /// A program also hands in what it takes no part in, and names that nobody knows.
     pub strange_names: bool,
-    /// Times are whole milliseconds, so that many are equal.
-    pub whole_milliseconds: bool,
+    /// Spans that the stream draws are multiples of this one: the coarser, the more times are equal.
+    pub grain: Duration,
+    /// Most time of a usual step.
+    pub longest_step: Duration,
 }
 
 pub fn millis(chance: &mut Pcg32, from: u64, to: u64) -> Duration {
     Duration::from_millis(chance.random_range(from..=to))
 }
 
+/// To the next multiple of a grain.
+pub fn rounded(span: Duration, grain: Duration) -> Duration {
+    let over = span.as_nanos() % grain.as_nanos().max(1);
+    // Under a grain, so that it fits.
+    span + if over == 0 { Duration::ZERO } else { grain - Duration::from_nanos(over as u64) }
+}
+
 fn pick<T: Copy>(chance: &mut Pcg32, from: &[T]) -> Option<T> {
     from.choose(chance).copied()
 }
@@ -63,14 +86,14 @@
     effects[drawn].or_else(|| chance.random_bool(0.7).then_some(Effect::Pure))
 }
 
-fn category(chance: &mut Pcg32, number: usize) -> (Category, CategoryTerms) {
-    let outer_limit = millis(chance, 500, 30_000);
+fn category(chance: &mut Pcg32, number: usize, grain: Duration) -> (Category, CategoryTerms) {
+    let outer_limit = rounded(millis(chance, 500, 30_000), grain);
     let name = format!("c{number}");
     let ordered = chance.random_bool(0.3);
     let terms = CategoryTerms {
         name: name.clone(),
         effect: effect(chance),
-        promised: perhaps(chance, |c| outer_limit.mul_f64(c.random_range(0.05..1.2))),
+        promised: perhaps(chance, |c| rounded(outer_limit.mul_f64(c.random_range(0.05..1.2)), grain)),
         outer_limit: chance.random_bool(0.95).then_some(outer_limit),
         credit: perhaps(chance, |c| f64::from(c.random_range(0_u32..5)) / 2.0),
         late_credit: perhaps(chance, |c| f64::from(c.random_range(0_u32..10)) / 10.0),
@@ -140,7 +163,9 @@
     pub fn draw(chance: &mut Pcg32) -> (Setting, Terms) {
         let (steps, destinations, targets, burst) = size(chance);
         let count = chance.random_range(1..=4_usize);
-        let (categories, of_categories): (Vec<_>, Vec<_>) = (0..count).map(|n| category(chance, n)).unzip();
+        let grain = pick(chance, &GRAINS).unwrap_or(GRAINS[0]);
+        let (categories, of_categories): (Vec<_>, Vec<_>) =
+            (0..count).map(|n| category(chance, n, grain)).unzip();
         let (kinds, tenants, slots) = (kinds(chance), tenants(chance), slots(chance));
         let weights = [Weights::Untold, Weights::RoughRates, Weights::Rates];
         let terms = Terms {
@@ -184,7 +209,8 @@
             targets,
             burst,
             strange_names: chance.random_bool(0.2),
-            whole_milliseconds: chance.random_bool(0.6),
+            grain,
+            longest_step: pick(chance, &LONGEST_STEPS).unwrap_or(LONGEST_STEPS[0]),
         };
         (setting, terms)
     }
