--- a/crates/scale/src/hollow.rs
+++ b/crates/scale/src/hollow.rs
@@ -329,11 +329,14 @@
         let Ok(bytes) = frame.into_data() else { continue };
         *heard = true;
         let mut known = locked(known);
+        let came = Instant::now();
         decoder.read(&bytes, |part| {
             if matches!(part, Part::Ends | Part::Nothing) {
                 meter.message();
             }
-            known.apply(part, Instant::now());
+            // Only the end of a line brings anything into force, and there are many entries.
+            let now = if part == Part::Ends { Instant::now() } else { came };
+            known.apply(part, now);
         })?;
     }
 }
--- a/crates/scale/src/real.rs
+++ b/crates/scale/src/real.rs
@@ -1,10 +1,11 @@
 //! Real forwarders: processes of the daemon, each with a configuration and a state folder of its own.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::{Duration, Instant};
 
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use rustix::process::{kill_process, Pid, Signal};
 use serde::Serialize;
 use serde_json::json;
@@ -15,6 +16,7 @@
 use crate::fault::Fault;
 use crate::room::{usage_of, Usage};
 use crate::scenario::Process;
+use crate::targets::Targets;
 
 /// From SIGTERM to SIGKILL at a planned restart.
 pub const KILLED_AFTER: Duration = Duration::from_millis(3_700);
@@ -24,6 +26,9 @@
 const PROBE_SOONEST: Duration = Duration::from_millis(5);
 const PROBE_LATEST: Duration = Duration::from_millis(100);
 
+/// Before another is handed in while one that was taken on does not arrive.
+const TAKEN_ON_WAITS: Duration = Duration::from_secs(1);
+
 /// What all real forwarders are told alike.
 #[derive(Clone)]
 pub struct Told {
@@ -47,13 +52,13 @@
     past: Usage,
 }
 
-/// When a destination became known at a forwarder, as far as probes can tell.
+/// When calls for a destination first arrived where the list says, as far as probes can tell.
 #[derive(Clone, Copy, Debug)]
 pub struct Probed {
-    /// The last probe that was refused began then; none where the first was accepted.
+    /// The last probe that was refused began then; none where the first was taken on.
     pub refused: Option<Instant>,
-    /// The first that was accepted was answered then.
-    pub accepted: Instant,
+    /// The first call arrived then.
+    pub arrived: Instant,
 }
 
 /// What a process has used, all its lives together.
@@ -189,20 +194,47 @@
     }
 }
 
-/// Waits until a destination is known at a forwarder.
-pub async fn until_known(client: &mut Client, id: &str, destination: u32) -> Probed {
+/// Hands envelopes in for a destination until one of them arrives at the address that the list gives it. A
+/// forwarder that has no list may take envelopes on for any destination, so that only an arrival tells.
+pub async fn until_reached(
+    client: &mut Client,
+    targets: &Targets,
+    id: &str,
+    destination: u32,
+    address: SocketAddrV4,
+) -> Probed {
     let start = Instant::now();
     let mut refused = None;
+    let mut out = FuturesUnordered::new();
     for n in 0_u64.. {
         let began = Instant::now();
-        match client.hand_in(&format!("{id}-{n}"), destination).await {
-            Answer::TakenOn => break,
-            Answer::Refused(_) => refused = Some(began),
-            Answer::None => {}
+        let id = format!("{id}-{n}");
+        out.push(targets.await_call(&id, address));
+        let rest = match client.hand_in(&id, destination).await {
+            Answer::TakenOn => TAKEN_ON_WAITS,
+            Answer::Refused(_) => {
+                refused = Some(began);
+                (start.elapsed() / 10).clamp(PROBE_SOONEST, PROBE_LATEST)
+            }
+            Answer::None => (start.elapsed() / 10).clamp(PROBE_SOONEST, PROBE_LATEST),
+        };
+        let arrival = timeout(rest, async {
+            while let Some(arrival) = out.next().await {
+                if let Ok(arrival) = arrival {
+                    return arrival;
+                }
+            }
+            std::future::pending().await
+        });
+        if let Ok(arrived) = arrival.await {
+            return Probed { refused, arrived };
+        }
+        // Of those refused nothing is heard any more.
+        if refused.is_some_and(|refused| refused >= began) {
+            out.clear();
         }
-        tokio::time::sleep((start.elapsed() / 10).clamp(PROBE_SOONEST, PROBE_LATEST)).await;
     }
-    Probed { refused, accepted: Instant::now() }
+    unreachable!("the loop has no end")
 }
 
 /// A client for probes.
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -1,6 +1,7 @@
 //! One run, from the first process to the last check.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,7 +19,7 @@
 use crate::control::{Control, Door, LostChange, Passage};
 use crate::fault::Fault;
 use crate::hollow::{locked as known_of, Hollow, Known};
-use crate::real::{probe_client, until_known, Probed, Real, Told};
+use crate::real::{probe_client, until_reached, Probed, Real, Told};
 use crate::report::{check, Line, Rates, Results, Spans};
 use crate::room;
 use crate::scenario::{Scenario, Trouble};
@@ -115,6 +116,7 @@
 struct Probe {
     generation: u64,
     place: u32,
+    address: SocketAddrV4,
 }
 
 /// Hand-ins of one phase.
@@ -346,8 +348,9 @@
         };
         let id = format!("list-{number}-{}", self.truth.generation());
         let last = self.scenario.list.targets - 1;
-        let probed = until_known(&mut probe_client(listen), &id, last).await;
-        locked(&self.starts).push((occasion, probed.accepted.duration_since(started)));
+        let address = self.targets.address(last, 0);
+        let probed = until_reached(&mut probe_client(listen), &self.targets, &id, last, address).await;
+        locked(&self.starts).push((occasion, probed.arrived.duration_since(started)));
     }
 
     /// Changes, probes, traffic, troubles and samples, until all are over.
@@ -396,16 +399,18 @@
         for n in 1..=count {
             tick.tick().await;
             if n % u64::from(changes.probe_every) != 0 {
-                let place = chance.random_range(0..self.scenario.list.targets);
+                // The last one stays where it is: starts are probed by it.
+                let place = chance.random_range(0..self.scenario.list.targets - 1);
                 self.truth.put(place, self.targets.address(place, n));
                 continue;
             }
             let place = listed;
             listed += 1;
-            let generation = self.truth.put(place, self.targets.address(place, n));
+            let address = self.targets.address(place, n);
+            let generation = self.truth.put(place, address);
             for probe in &probes {
                 // A worker that has gone is found missing at the end.
-                let _ = probe.send(Probe { generation, place });
+                let _ = probe.send(Probe { generation, place, address });
             }
         }
         tick.tick().await;
@@ -417,10 +422,10 @@
         mut client: Client,
         mut queue: mpsc::UnboundedReceiver<Probe>,
     ) {
-        while let Some(Probe { generation, place }) = queue.recv().await {
+        while let Some(Probe { generation, place, address }) = queue.recv().await {
             let id = format!("probe-{forwarder}-{generation}");
             tokio::select! {
-                probed = until_known(&mut client, &id, place) => {
+                probed = until_reached(&mut client, &self.targets, &id, place, address) => {
                     locked(&self.probed).push(ProbeRecord { forwarder, generation, probed });
                 }
                 () = self.over() => return,
@@ -723,7 +728,7 @@
             lines.push(Line::HandIn { phase, spans: spans.summary(), taken_on, refused, unanswered });
         }
         lines.push(Line::Ends {
-            calls: self.targets.calls.load(Ordering::Relaxed),
+            calls: self.targets.calls(),
             notices: self.control.notices.load(Ordering::Relaxed),
         });
         lines
@@ -746,10 +751,10 @@
         };
         let mut resolution = Spans::default();
         for ProbeRecord { forwarder, generation, probed } in locked(&self.probed).iter() {
-            add("real", *forwarder, *generation, probed.accepted);
+            add("real", *forwarder, *generation, probed.arrived);
             let made = self.truth.made(*generation);
-            let unsure_since = probed.refused.or(made).unwrap_or(probed.accepted);
-            resolution.add(probed.accepted.saturating_duration_since(unsure_since));
+            let unsure_since = probed.refused.or(made).unwrap_or(probed.arrived);
+            resolution.add(probed.arrived.saturating_duration_since(unsure_since));
         }
         for hollow in &self.hollows {
             let hollow = locked(hollow);
--- a/crates/scale/src/scenario.rs
+++ b/crates/scale/src/scenario.rs
@@ -181,7 +181,7 @@
         count("fleet.hollow_threads", self.fleet.hollow_threads, 1, 64)?;
         count("fleet.zones", self.fleet.zones, 1, 100)?;
         count("fleet.regions", self.fleet.regions, 1, self.fleet.zones)?;
-        count("list.targets", self.list.targets, 1, MOST_TARGETS)?;
+        count("list.targets", self.list.targets, 2, MOST_TARGETS)?;
         count("list.whole_at_once", self.list.whole_at_once, 1, MOST_HOLLOW)?;
         seconds("list.start_within_s", self.list.start_within_s)?;
         seconds("changes.every_s", self.changes.every_s)?;
