--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`list_reader`] | reads what a watch tells |
 //! | [`list_status`] | what the health check says of the list |
 //! | [`unreadable_list`] | when a list that can't be read is asked for again |
+//! | [`watch_schedule`] | when that watch is opened again after a loss |
 //! | [`notices`] | tells the platform of what was not delivered |
 //! | [`limits`] | what the machine has room for |
 //! | [`seldom`] | log lines that would come in floods |
@@ -35,10 +36,10 @@
 pub mod notices;
 pub mod owner;
 pub mod passage;
-pub mod reopening;
 pub mod seldom;
 pub mod targets;
 pub mod unreadable_list;
+pub mod watch_schedule;
 
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -64,7 +65,7 @@
 use list_reader::PIECES_WAITING;
 use list_status::ListStatus;
 use owner::{Owner, State};
-use reopening::Reopening;
+use watch_schedule::{Periods, WatchSchedule};
 
 /// What one forwarder is told at its start.
 pub struct Post {
@@ -111,7 +112,7 @@
     let mut state = State::default();
     let batches: BTreeMap<String, usize> =
         post.terms.kinds.iter().map(|k| (k.0.clone(), k.2.unwrap_or(1).max(1) as usize)).collect();
-    let reopening = Reopening::new(post.terms.seed);
+    let schedule = WatchSchedule::new(Periods::default(), post.terms.seed);
     let forwarder = Forwarder::open(clock.now(), post.terms, state.desk());
     let generation = post.known.generation;
     let mut owner = Owner {
@@ -130,7 +131,7 @@
     owner.known_list(post.known).map_err(|fault| io::Error::new(io::ErrorKind::InvalidData, fault))?;
     owner.take_up();
     tokio::spawn(notices::tell(post.discovery.clone(), untold, events.clone()));
-    tokio::spawn(discovery::follow(post.discovery, generation, reopening, watched));
+    tokio::spawn(discovery::follow(post.discovery, generation, schedule, watched));
     tokio::spawn(async move {
         let mut tick = interval(Duration::from_millis(500));
         loop {
