--- a/crates/daemon/examples/long_list.rs
+++ b/crates/daemon/examples/long_list.rs
@@ -3,7 +3,7 @@
 //!
 //! `cargo run --release --example long_list -- target/release/reeddock 320000 [known]`
 //!
-//! With `known` the list stands in the configuration too. Prints one JSON object a line. Ends the forwarder that it
+//! With `known` the list stands in the configuration instead, and discovery tells changes only. Prints one JSON object a line. Ends the forwarder that it
 //! started.
 
 use std::error::Error;
@@ -237,7 +237,9 @@
         forwarder.kilobytes("VmHWM")?,
         forwarder.processor()?.as_millis()
     );
-    load(&forwarder, &mut watch, targets, first, listen)?;
+    if known.is_none() {
+        load(&forwarder, &mut watch, targets, first, listen)?;
+    }
     changes(&forwarder, &mut watch)?;
     idle(&forwarder, &mut watch)
 }
--- a/crates/forwarder/src/discovery.rs
+++ b/crates/forwarder/src/discovery.rs
@@ -7,8 +7,8 @@
 use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::connections::Connection;
+use crate::events::Event;
 use crate::list_reader::read;
-use crate::owner::Event;
 use crate::seldom::Seldom;
 use crate::watch_schedule::{Loss, Periods, WatchSchedule};
 
--- a/crates/forwarder/src/owner/listing.rs
+++ b/crates/forwarder/src/owner/listing.rs
@@ -36,6 +36,7 @@
     /// Applies the list as it was last known, before anything else is heard. One without entries is none.
     pub fn known_list(&mut self, known: KnownList) -> Result<(), Fault> {
         if known.targets == 0 {
+            tracing::info!("no list of targets is known at the start; what comes waits for discovery's");
             return Ok(());
         }
         self.list_begins(known.generation, true);
--- a/crates/forwarder/tests/loopback/crossings.rs
+++ b/crates/forwarder/tests/loopback/crossings.rs
@@ -9,7 +9,7 @@
 use reeddock_forwarder::calls::{see_through, Call, Carried, Courier};
 use reeddock_forwarder::connections::Connections;
 use reeddock_forwarder::crowding::Crowding;
-use reeddock_forwarder::owner::Event;
+use reeddock_forwarder::events::Event;
 use reeddock_ledger::{Ledger, Record, Taken};
 use reeddock_protocol::{Ending, GivenUp};
 use socket2::SockRef;
--- a/crates/forwarder/tests/loopback/stories.rs
+++ b/crates/forwarder/tests/loopback/stories.rs
@@ -8,7 +8,7 @@
 use reeddock::{LimitReport, TargetId};
 use reeddock_forwarder::calls::{see_through, Courier};
 use reeddock_forwarder::connections::Connections;
-use reeddock_forwarder::owner::Event;
+use reeddock_forwarder::events::Event;
 use reeddock_protocol::Ending;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
--- a/crates/forwarder/tests/loopback/watches.rs
+++ b/crates/forwarder/tests/loopback/watches.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use reeddock_forwarder::discovery::follow;
-use reeddock_forwarder::owner::Event;
+use reeddock_forwarder::events::Event;
 use reeddock_forwarder::watch_schedule::{Periods, WatchSchedule};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
