A slow model of the module's rules is checked by a proptest over random streams

Cause: recordings show that two builds decide alike, and not that either is right; and the checks of the module's indices that are to run in debug builds need random events to meet. Change: streams/model.rs knows what was told and asked, walks all of it, and names each broken rule: one dispatch at a time and under the cap, slots, room, active targets of the right destination, told waits, limits, effects and receipts, order and rest of keys, harmless sheds, one final answer, a wake before each limit. A proptest plays 400 streams under it, of seeds and lengths that it shrinks.

--- a/crates/recorder/src/streams/player.rs
+++ b/crates/recorder/src/streams/player.rs
@@ -12,6 +12,7 @@
 };
 
 use super::listing::{wait, Line, Targets};
+use super::model::{Model, Violation};
 use super::setting::{millis, rounded, Setting, KEYS};
 use crate::recording::Tape;
 use crate::tee::{HandIn, RecordedForwarder};
@@ -28,7 +29,8 @@
 enum Asked {
     Dispatch(EnvelopeId, TargetId, Spans),
     CallOff(EnvelopeId, DispatchNo),
-    Answered(EnvelopeId),
+    Shed(EnvelopeId),
+    BreakOff(EnvelopeId),
     Wake(Duration),
     Subscribe,
 }
@@ -44,10 +46,10 @@
         self.0.push(Asked::CallOff(envelope.clone(), dispatch));
     }
     fn shed(&mut self, envelope: &EnvelopeId, _: Option<Duration>) {
-        self.0.push(Asked::Answered(envelope.clone()));
+        self.0.push(Asked::Shed(envelope.clone()));
     }
     fn break_off(&mut self, envelope: &EnvelopeId) {
-        self.0.push(Asked::Answered(envelope.clone()));
+        self.0.push(Asked::BreakOff(envelope.clone()));
     }
     fn wake(&mut self, after: Duration) {
         self.0.push(Asked::Wake(after));
@@ -83,6 +85,7 @@
     setting: Setting,
     now: Duration,
     module: RecordedForwarder,
+    model: Model,
     requests: Requests,
     targets: Targets,
     telling: Option<Telling>,
@@ -104,11 +107,13 @@
         let mut requests = Requests::default();
         let now = if chance.random_bool(0.3) { Duration::ZERO } else { millis(&mut chance, 1, 100_000) };
         let module = RecordedForwarder::open(now, terms, tape, &mut requests);
+        let model = Model::new(setting.rules(), now);
         let mut player = Player {
             chance,
             setting,
             now,
             module,
+            model,
             requests,
             targets,
             telling: None,
@@ -122,7 +127,7 @@
         player
     }
 
-    pub fn play(mut self, most_steps: usize) {
+    pub fn play(mut self, most_steps: usize) -> Vec<Violation> {
         let steps = self.setting.steps;
         // The list may come after the first envelopes.
         let list_at = if self.one_in(4) { self.below(12) } else { 0 };
@@ -137,9 +142,11 @@
             if step == leaves_at {
                 let by = self.now + millis(&mut self.chance, 0, 20_000);
                 self.module.leaving(by);
+                self.model.leaving(by);
             }
             self.step();
         }
+        self.model.violations
     }
 
     // # Chance.
@@ -168,6 +175,7 @@
         self.ask_module();
         self.module.turn(self.now, &mut self.requests);
         self.carry_out();
+        self.model.turned(&self.alarms);
     }
 
     fn pass_time(&mut self) {
@@ -183,6 +191,7 @@
         let early = if self.one_in(4) { EARLY } else { Duration::ZERO };
         let wakes = first.map(|at| at.saturating_sub(early).max(self.now));
         self.now = wakes.map_or(to, |at| at.min(to));
+        self.model.time(self.now);
     }
 
     fn sound_alarms(&mut self) {
@@ -216,6 +225,7 @@
         if self.one_in(10) {
             self.module.note_sent_to(&ended.id, ended.no);
         }
+        self.model.settled(&ended.id, ended.no, ended.outcome, over);
         self.module.settled(self.now, &ended.id, ended.no, ended.outcome, over, &mut self.requests);
         self.carry_out();
         if self.one_in(200) {
@@ -240,6 +250,7 @@
         }
         let Some(target) = self.targets.any(&mut self.chance) else { return };
         let wait = wait(&mut self.chance, self.setting.grain);
+        self.model.told_to_wait(target, wait);
         self.module.told_to_wait(self.now, target, wait);
         self.module.note_waits_with(target);
     }
@@ -282,7 +293,7 @@
 
     fn begin_list(&mut self, whole: bool, breaks: bool) {
         if self.telling.take().is_some() {
-            self.module.list_broken();
+            self.break_list();
         }
         let mut lines: VecDeque<(TargetId, Line)> = if whole {
             self.targets.lines.iter().map(|(id, line)| (*id, line.clone())).collect()
@@ -296,6 +307,7 @@
             let told = self.below(lines.len());
             lines.truncate(told);
         }
+        self.model.list_begins(whole);
         self.module.list_begins(whole);
         self.telling = Some(Telling { lines, breaks });
         if !self.one_in(4) {
@@ -321,6 +333,7 @@
         let Some(telling) = &mut self.telling else { return };
         let count = telling.lines.len().min(most);
         for (target, line) in telling.lines.drain(..count) {
+            self.model.listed(target, line.destination, &line.kind, line.standing);
             self.module.listed(Listing {
                 target,
                 destination: line.destination,
@@ -334,12 +347,20 @@
 
     fn end_list(&mut self) {
         match self.telling.take() {
-            Some(told) if told.breaks => self.module.list_broken(),
-            Some(_) => self.module.list_ends(),
+            Some(told) if told.breaks => self.break_list(),
+            Some(_) => {
+                self.model.list_ends();
+                self.module.list_ends();
+            }
             None => {}
         }
     }
 
+    fn break_list(&mut self) {
+        self.model.list_broken();
+        self.module.list_broken();
+    }
+
     // # Envelopes.
 
     fn hand_in_some(&mut self) {
@@ -398,6 +419,7 @@
             self.module.note_knows(envelope.destination);
         }
         self.open.insert(envelope.id.clone(), 0);
+        self.model.hand_in(envelope);
         self.module.hand_in(self.now, envelope, &mut self.requests);
         self.carry_out();
     }
@@ -414,6 +436,7 @@
             }
             let past = self.past();
             self.open.insert(envelope.id.clone(), past.len() as u32);
+            self.model.recall(&envelope.id, &past);
             self.module.recall(self.now, &envelope.id, &past, &mut self.requests);
             self.carry_out();
         }
@@ -440,6 +463,7 @@
         let at = self.below(self.open.len());
         let Some(id) = self.open.keys().nth(at).cloned() else { return };
         self.open.remove(&id);
+        self.model.withdrawn(&id);
         self.module.end(&id, &mut self.requests);
         self.carry_out();
     }
@@ -465,7 +489,14 @@
             match asked {
                 Asked::Dispatch(id, target, spans) => self.send(id, target, spans),
                 Asked::CallOff(id, no) => self.call_off(&id, no),
-                Asked::Answered(id) => drop(self.open.remove(&id)),
+                Asked::Shed(id) => {
+                    self.model.shed(&id);
+                    self.open.remove(&id);
+                }
+                Asked::BreakOff(id) => {
+                    self.model.broken_off(&id);
+                    self.open.remove(&id);
+                }
                 Asked::Wake(after) => drop(self.alarms.insert(self.now + after)),
                 Asked::Subscribe => {
                     let due = self.now + millis(&mut self.chance, 1, 2_000);
@@ -476,6 +507,7 @@
     }
 
     fn send(&mut self, id: EnvelopeId, target: TargetId, spans: Spans) {
+        self.model.dispatched(&id, target, spans);
         let Some(dispatches) = self.open.get_mut(&id) else { return };
         let no = DispatchNo(*dispatches);
         *dispatches += 1;
@@ -494,6 +526,7 @@
 
     /// Ends shortly after, unless its answer is on its way.
     fn call_off(&mut self, id: &EnvelopeId, no: DispatchNo) {
+        self.model.called_off(id, no);
         let late = self.one_in(10);
         let due = self.now + millis(&mut self.chance, 0, 5);
         let Some(out) = self.out.iter_mut().find(|o| o.id == *id && o.no == no) else { return };
--- a/crates/recorder/src/streams/setting.rs
+++ b/crates/recorder/src/streams/setting.rs
@@ -7,6 +7,8 @@
 use rand_pcg::Pcg32;
 use reeddock::{CategoryTerms, Effect, Group, Terms, Weights};
 
+use super::model::Rules;
+
 pub const ZONES: [&str; 3] = ["north", "south", "west"];
 /// Most keys that the ordered envelopes of a stream are about.
 pub const KEYS: u64 = 4;
@@ -30,6 +32,7 @@
     pub name: String,
     pub outer_limit: Duration,
     pub ordered: bool,
+    pub effect: Effect,
 }
 
 /// What a stream is played with.
@@ -37,6 +40,10 @@
     pub categories: Vec<Category>,
     pub kinds: Vec<String>,
     pub tenants: Vec<String>,
+    pub slots: u64,
+    pub room: u64,
+    pub dispatch_cap: u64,
+    pub key_rest: Duration,
     pub answers_report: bool,
     pub steps: usize,
     pub destinations: u64,
@@ -99,7 +106,9 @@
         late_credit: perhaps(chance, |c| f64::from(c.random_range(0_u32..10)) / 10.0),
         ordered,
     };
-    (Category { name, outer_limit, ordered }, terms)
+    // What is untold is treated as what allows least.
+    let effect = terms.effect.unwrap_or(Effect::Effectful);
+    (Category { name, outer_limit, ordered, effect }, terms)
 }
 
 fn kinds(chance: &mut Pcg32) -> Vec<(String, bool, Option<u64>)> {
@@ -160,6 +169,18 @@
 }
 
 impl Setting {
+    /// What the module promises under these terms.
+    pub fn rules(&self) -> Rules {
+        let category = |c: &Category| (c.name.clone(), (c.effect, c.ordered));
+        Rules {
+            categories: self.categories.iter().map(category).collect(),
+            slots: self.slots,
+            room: self.room,
+            dispatch_cap: self.dispatch_cap,
+            key_rest: self.key_rest,
+        }
+    }
+
     pub fn draw(chance: &mut Pcg32) -> (Setting, Terms) {
         let (steps, destinations, targets, burst) = size(chance);
         let count = chance.random_range(1..=4_usize);
@@ -203,6 +224,10 @@
             categories,
             kinds: kinds.into_iter().map(|k| k.0).collect(),
             tenants: tenants.into_iter().map(|t| t.0).collect(),
+            slots,
+            room: terms.room.unwrap_or(u64::MAX),
+            dispatch_cap: terms.dispatch_cap.unwrap_or(u64::MAX),
+            key_rest: terms.key_rest.unwrap_or_default(),
             answers_report: terms.answers_report,
             steps,
             destinations,
