Whole lists are queued for in turn, and real forwarders do not queue behind hollow ones

Cause: a watch that waited over 2 s for its whole list lost its place with each empty line, so that the real ones of a trial were served last, after 23 s. Change: the place is kept; real ones have their list before hollow ones start.

--- a/crates/scale/src/control.rs
+++ b/crates/scale/src/control.rs
@@ -3,8 +3,10 @@
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,7 +21,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, AcquireError, OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
 use crate::fault::Fault;
@@ -217,7 +219,7 @@
 
 fn watch_body(served: Served, index: u64) -> Body {
     let news = served.control.truth.news();
-    let watch = Watch { served, news, at: index, pieces: VecDeque::new(), whole: None };
+    let watch = Watch { served, news, at: index, pieces: VecDeque::new(), whole: None, queued: None };
     let lines = stream::unfold(watch, |mut watch| async move {
         let bytes = watch.next().await;
         Some((Ok(Frame::data(bytes)), watch))
@@ -234,8 +236,12 @@
     /// What is left of a whole list.
     pieces: VecDeque<Bytes>,
     whole: Option<(Arc<Whole>, OwnedSemaphorePermit)>,
+    /// Its place in the queue for a whole list, which empty lines do not cost it.
+    queued: Option<Place>,
 }
 
+type Place = Pin<Box<dyn Future<Output = Result<OwnedSemaphorePermit, AcquireError>> + Send>>;
+
 impl Watch {
     /// What is sent next, once there is something.
     async fn next(&mut self) -> Bytes {
@@ -291,9 +297,11 @@
     /// Begins a whole list; false while too many others are being sent theirs.
     async fn begin_whole(&mut self) -> bool {
         let slots = self.served.control.whole_at_once.clone();
-        let Ok(Ok(slot)) = timeout(EMPTY_LINE_EVERY, slots.acquire_owned()).await else {
+        let place = self.queued.get_or_insert_with(|| Box::pin(slots.acquire_owned()));
+        let Ok(Ok(slot)) = timeout(EMPTY_LINE_EVERY, place).await else {
             return false;
         };
+        self.queued = None;
         let whole = self.served.control.truth.whole().await;
         self.served.control.whole_bytes.store(whole.size() as u64, Ordering::Relaxed);
         self.pieces = whole.pieces.iter().cloned().collect();
--- a/crates/scale/src/run.rs
+++ b/crates/scale/src/run.rs
@@ -299,18 +299,19 @@
         Ok(Results { lines })
     }
 
-    /// Starts all forwarders together and waits until each has the list.
+    /// Starts all real forwarders together, then all hollow ones, and waits until each has the list. Real ones do
+    /// not queue behind hollow ones, which share few threads.
     async fn start(self: &Arc<Stage>) -> Result<(), Fault> {
-        for hollow in &self.hollows {
-            self.start_hollow(&mut locked(hollow));
-        }
+        let within = Duration::from_secs_f64(self.scenario.list.start_within_s);
         for real in &self.reals {
             real.lock().await.start()?;
         }
-        let within = Duration::from_secs_f64(self.scenario.list.start_within_s);
         let reals = join_all(self.reals.iter().map(|real| self.list_in_force(real, "first start")));
         let all = async {
             reals.await;
+            for hollow in &self.hollows {
+                self.start_hollow(&mut locked(hollow));
+            }
             while self.hollows.iter().any(|hollow| !known_of(&locked(hollow).known).has_list()) {
                 sleep(LOOK_EVERY).await;
             }
