The recorder's model knows that a receipt may hold for one zone alone

Change: the model keeps where a dispatch that may have had an effect went, and checks the zone of the next.

--- a/crates/recorder/src/streams/model.rs
+++ b/crates/recorder/src/streams/model.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use reeddock::{
-    CallNo, DestinationId, DispatchNo, Effect, EnvelopeId, Group, Outcome, Past, Spans, Standing, TargetId,
+    CallNo, DestinationId, DispatchNo, Effect, EnvelopeId, Group, Listing, Outcome, Past, Spans, Standing,
+    TargetId,
 };
 
 use crate::tee::HandIn;
@@ -48,8 +49,8 @@
     outer_limit: Duration,
     dispatches: u64,
     out: BTreeMap<DispatchNo, Sent>,
-    /// First dispatch that may have had an effect.
-    may_have_run: Option<Duration>,
+    /// When the first dispatch left that may have had an effect, and where the last such one went.
+    may_have_run: Option<(Duration, TargetId)>,
     over: bool,
 }
 
@@ -61,7 +62,7 @@
     /// Until when a repeat is recognized as one, if it needs to be.
     fn receipt_until(&self) -> Option<Duration> {
         match (self.effect, self.may_have_run) {
-            (Effect::Receipted { window, .. }, Some(first)) => Some(first + window),
+            (Effect::Receipted { window, .. }, Some((first, _))) => Some(first + window),
             _ => None,
         }
     }
@@ -71,6 +72,7 @@
 struct Told {
     destination: DestinationId,
     kind: String,
+    zone: String,
     standing: Standing,
     moves: u64,
     /// Something was sent to it since it moved last.
@@ -128,13 +130,15 @@
         self.naming = whole.then(BTreeSet::new);
     }
 
-    pub fn listed(&mut self, target: TargetId, destination: DestinationId, kind: &str, standing: Standing) {
+    pub fn listed(&mut self, line: &Listing) {
+        let Listing { target, destination, standing, kind, zone, .. } = *line;
         if let Some(named) = &mut self.naming {
             named.insert(target);
         }
         let told = self.targets.entry(target).or_insert_with(|| Told {
             destination,
             kind: kind.to_owned(),
+            zone: zone.to_owned(),
             standing,
             moves: 0,
             met: false,
@@ -148,6 +152,7 @@
         }
         told.destination = destination;
         kind.clone_into(&mut told.kind);
+        zone.clone_into(&mut told.zone);
         told.standing = standing;
     }
 
@@ -184,7 +189,8 @@
         let until = self.now + self.rules.key_rest;
         let Some(owed) = self.owed.get_mut(id) else { return };
         owed.dispatches = past.len() as u64;
-        owed.may_have_run = past.iter().filter(|p| !p.never_ran).map(|p| p.sent).min();
+        owed.may_have_run =
+            past.iter().filter(|p| !p.never_ran).map(|p| (p.sent, p.target)).min_by_key(|p| p.0);
         if let Some(key) = owed.key.filter(|_| owed.may_have_run.is_some()) {
             self.rests.insert(key, Rest { until, owner: owed.number });
         }
@@ -196,7 +202,8 @@
         let Some(sent) = owed.out.remove(&no) else { return };
         owed.over |= over;
         if !outcome.never_ran() {
-            owed.may_have_run = Some(owed.may_have_run.map_or(sent.at, |first| first.min(sent.at)));
+            let first = owed.may_have_run.map_or(sent.at, |(first, _)| first.min(sent.at));
+            owed.may_have_run = Some((first, sent.target));
         }
         let unsure = matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::CalledOff);
         if let Some(key) = owed.key.filter(|_| unsure) {
@@ -289,12 +296,21 @@
                 owed.receipt_until().is_none_or(|until| now + spans.begin_within <= until),
                 "its receipt runs out",
             ),
+            (self.recognized(owed, target), "a target of another zone would not know it again"),
             (!self.owed.values().any(before), "an earlier one of its key is not over"),
             (rest.is_none_or(|r| now >= r.until || r.owner == owed.number), "its key rests"),
         ];
         rules.into_iter().filter(|(holds, _)| !holds).map(|(_, what)| what).collect()
     }
 
+    /// Whether the target would know an envelope again that may have run elsewhere.
+    fn recognized(&self, owed: &Owed, target: TargetId) -> bool {
+        let in_zone = matches!(owed.effect, Effect::Receipted { group: Group::Zone, .. });
+        let Some((_, ran_at)) = owed.may_have_run.filter(|_| in_zone) else { return true };
+        let zone = |id| self.targets.get(&id).map(|t| &t.zone);
+        ran_at == target || zone(ran_at) == zone(target)
+    }
+
     pub fn called_off(&mut self, id: &EnvelopeId, no: DispatchNo) {
         let out = self.owed.get(id).is_some_and(|o| o.out.contains_key(&no));
         self.check(out, || format!("{:?}: dispatch {} called off, and was not out", id.0, no.0));
--- a/crates/recorder/src/streams/player.rs
+++ b/crates/recorder/src/streams/player.rs
@@ -333,15 +333,16 @@
         let Some(telling) = &mut self.telling else { return };
         let count = telling.lines.len().min(most);
         for (target, line) in telling.lines.drain(..count) {
-            self.model.listed(target, line.destination, &line.kind, line.standing);
-            self.module.listed(Listing {
+            let listing = Listing {
                 target,
                 destination: line.destination,
                 standing: line.standing,
                 weight: line.weight,
                 zone: line.zone,
                 kind: &line.kind,
-            });
+            };
+            self.model.listed(&listing);
+            self.module.listed(listing);
         }
     }
 
