--- a/crates/daemon/examples/long_list.rs
+++ b/crates/daemon/examples/long_list.rs
@@ -145,9 +145,16 @@
     Ok(at)
 }
 
+/// One envelope that was handed in, and when that was since the client began.
+struct HandIn {
+    status: u16,
+    took: Duration,
+    at: Duration,
+}
+
 /// Hands envelopes in until told to end; says how long each answer took.
-fn client(at: SocketAddr, ends: Arc<AtomicBool>) -> Vec<(u16, Duration)> {
-    let mut answers = Vec::new();
+fn client(at: SocketAddr, ends: Arc<AtomicBool>) -> Vec<HandIn> {
+    let (mut answers, began) = (Vec::new(), Instant::now());
     let Ok(stream) = TcpStream::connect(at) else { return answers };
     let _ = stream.set_nodelay(true);
     let Ok(mut writer) = stream.try_clone() else { return answers };
@@ -166,7 +173,7 @@
         }
         let Some(answer) = read_message(&mut reader) else { break };
         let status = answer.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or_default();
-        answers.push((status, start.elapsed()));
+        answers.push(HandIn { status, took: start.elapsed(), at: start - began });
         thread::sleep(HAND_IN_EVERY.saturating_sub(start.elapsed()));
     }
     answers
@@ -291,14 +298,14 @@
     let processor = forwarder.processor()? - processor;
     ends.store(true, Ordering::Relaxed);
     let answers = client.join().map_err(|_| "the client failed")?;
-    let refused = answers.iter().filter(|(status, _)| *status != 202).count();
-    let mut spans: Vec<Duration> = answers.iter().map(|(_, span)| *span).collect();
+    let refused = answers.iter().filter(|hand_in| hand_in.status != 202).count();
+    let mut spans: Vec<Duration> = answers.iter().map(|hand_in| hand_in.took).collect();
     spans.sort();
     let at = |share: f64| {
         spans.get((spans.len() as f64 * share) as usize).or(spans.last()).copied().unwrap_or_default()
     };
     println!(
-        r#"{{"targets":{targets},"bytes":{bytes},"written_ms":{},"in_force_ms":{},"processor_ms":{},"rss_kb":{},"peak_kb":{},"hand_ins":{},"not_202":{refused},"p50_ms":{:.2},"p99_ms":{:.2},"worst_ms":{:.2}}}"#,
+        r#"{{"targets":{targets},"bytes":{bytes},"written_ms":{},"in_force_ms":{},"processor_ms":{},"rss_kb":{},"peak_kb":{},"hand_ins":{},"not_202":{refused},"p50_ms":{:.2},"p99_ms":{:.2},"worst_ms":{:.2},"worst_at_ms":{}}}"#,
         written.as_millis(),
         in_force.as_millis(),
         processor.as_millis(),
@@ -308,6 +315,7 @@
         at(0.5).as_secs_f64() * 1e3,
         at(0.99).as_secs_f64() * 1e3,
         spans.last().copied().unwrap_or_default().as_secs_f64() * 1e3,
+        answers.iter().max_by_key(|hand_in| hand_in.took).map_or(0, |worst| worst.at.as_millis()),
     );
     Ok(())
 }
