The index of names grows without a look at each name

Read, not measured: at 229,000 targets the index doubled and looked each name up for its hash, far apart in memory, in one step of the event loop. The half of the hash that is kept spares that, for 4 bytes a target. Whether it was the cause of the worst hand-in (110 ms) has not been measured yet.

--- a/crates/forwarder/src/targets.rs
+++ b/crates/forwarder/src/targets.rs
@@ -55,13 +55,27 @@
     Same,
 }
 
+/// A name in the index of names. Its hash is kept, so that the index grows without a look at each name: with some
+/// hundred thousand of them that would take longer than an event may.
+struct Named {
+    hash: u32,
+    id: TargetId,
+}
+
+impl Named {
+    /// The kept half of a name's hash, spread over all bits that the index uses.
+    fn spread(hash: u32) -> u64 {
+        u64::from(hash) << 32 | u64::from(hash)
+    }
+}
+
 /// All targets that were heard of and are not forgotten. Nothing here costs more where there are more of them.
 #[derive(Default)]
 pub struct TargetTable {
     /// By number.
     rows: IndexMap<u32, Row, DefaultHashBuilder>,
     /// The same, by name.
-    names: HashTable<TargetId>,
+    names: HashTable<Named>,
     hashes: DefaultHashBuilder,
     numbered: u32,
     /// How many have an address.
@@ -73,13 +87,13 @@
     pub fn number(&mut self, name: &str) -> TargetId {
         let TargetTable { rows, names, hashes, numbered, .. } = self;
         let name_of = |id: &TargetId| rows.get(&id.0).map_or("", |row| row.name.as_str());
-        let hash = hashes.hash_one(name);
-        if let Some(id) = names.find(hash, |id| name_of(id) == name) {
-            return *id;
+        let hash = hashes.hash_one(name) as u32;
+        if let Some(named) = names.find(Named::spread(hash), |named| name_of(&named.id) == name) {
+            return named.id;
         }
         let id = TargetId(*numbered);
         *numbered += 1;
-        names.insert_unique(hash, id, |id| hashes.hash_one(name_of(id)));
+        names.insert_unique(Named::spread(hash), Named { hash, id }, |named| Named::spread(named.hash));
         rows.insert(id.0, Row { name: name.into(), address: Address::Untold, batch: 1 });
         id
     }
@@ -121,8 +135,8 @@
     pub fn forget(&mut self, id: TargetId) {
         let Some(row) = self.rows.swap_remove(&id.0) else { return };
         self.placed -= usize::from(row.address.get().is_some());
-        let hash = self.hashes.hash_one(row.name.as_str());
-        if let Ok(entry) = self.names.find_entry(hash, |other| *other == id) {
+        let hash = self.hashes.hash_one(row.name.as_str()) as u32;
+        if let Ok(entry) = self.names.find_entry(Named::spread(hash), |named| named.id == id) {
             entry.remove();
         }
     }
