A client's place is free only once its descriptor is closed; reserves are named

Cause: a place was given to the next client as soon as the one before it was spared, while its descriptor was still open. The loop that accepts does not yield for up to 128 connections, so a burst at a full door went that far over the share: 248 of 256 descriptors seen open where 130 are meant (one trial, 600 connections at once, without calls). With 40 idle connections to targets the program ran out of descriptors.

Change: places are permits that are held until the descriptor is closed, in `intake.rs`. `limits.rs` names what is kept back for each part; the total stays 32.

`units.rs`: reserves and shares add up to the descriptors.

--- a/crates/forwarder/src/intake.rs
+++ b/crates/forwarder/src/intake.rs
@@ -24,7 +24,7 @@
 use reeddock_protocol::{Answer, HandIn, MOST_BODY};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot, watch, Notify, Semaphore};
+use tokio::sync::{mpsc, oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 use tower::Service;
 
@@ -284,10 +284,9 @@
     let mut seldom = Seldom::default();
     let mut closing = door.closing.subscribe();
     let lingering = Arc::new(Semaphore::new(limits.lingering));
+    let places = Arc::new(Semaphore::new(limits.accepted));
     for number in 0.. {
-        while door.guests().len() >= limits.accepted && !door.spare_one() {
-            sleep(ACCEPT_AGAIN).await;
-        }
+        let place = free_place(&places, &door).await;
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
@@ -328,15 +327,35 @@
         let door = door.clone();
         tokio::spawn(async move {
             let stream = Tallied { stream: TokioIo::new(stream), guest: intake.guest.clone() };
-            serve(stream, from, intake).await;
+            serve(stream, from, intake, place).await;
             door.guests().remove(&number);
         });
     }
 }
 
+/// A place for one more connection, once there is one. It is taken until the descriptor is closed, which may be a while
+/// after its client was spared for another.
+async fn free_place(places: &Arc<Semaphore>, door: &Door) -> Option<OwnedSemaphorePermit> {
+    loop {
+        if let Ok(place) = places.clone().try_acquire_owned() {
+            return Some(place);
+        }
+        door.spare_one();
+        if let Ok(place) = timeout(ACCEPT_AGAIN, places.clone().acquire_owned()).await {
+            return place.ok();
+        }
+    }
+}
+
 type Serving = http1::Connection<Tallied, TowerToHyperService<Intake>>;
 
-async fn serve(stream: Tallied, from: SocketAddr, intake: Intake) {
+/// Serves a connection to its end, which gives its place back.
+async fn serve(
+    stream: Tallied,
+    from: SocketAddr,
+    intake: Intake,
+    client_place: Option<OwnedSemaphorePermit>,
+) {
     let guest = intake.guest.clone();
     let mut closing = intake.door.closing.subscribe();
     let told = async {
@@ -367,9 +386,13 @@
         tracing::debug!(%from, %e, "a client's connection ended");
     }
     // One that was never asked for anything has no answer under way.
-    let place = lingering.try_acquire_owned();
-    if place.is_ok() && guest.was_answered() {
+    let linger_place = lingering.try_acquire_owned();
+    if linger_place.is_ok() && guest.was_answered() {
+        drop(client_place);
         linger(serving.into_parts().io.stream.into_inner()).await;
+    } else {
+        drop(serving);
+        drop(client_place);
     }
 }
 
--- a/crates/forwarder/src/limits.rs
+++ b/crates/forwarder/src/limits.rs
@@ -28,10 +28,53 @@
     pub bodies: u64,
 }
 
+/// Descriptors that are kept back from clients and from calls, so that neither can keep the list, the notices or the
+/// ledger from going on.
+#[derive(Clone, Copy, Debug)]
+pub struct Reserve {
+    pub standard_streams: usize,
+    /// What the runtime waits on, its wake-ups and its signals.
+    pub runtime: usize,
+    pub listener: usize,
+    /// Its lock, the segments that are open, one that is read or made beside them, and its folder.
+    pub ledger: usize,
+    /// The configuration, as it is read again.
+    pub configuration: usize,
+    /// The watch on the list, and one that is being closed.
+    pub watch: usize,
+    /// The connection for notices, and one that is being closed.
+    pub notices: usize,
+    /// What the libraries may open beside these.
+    pub margin: usize,
+}
+
+pub const RESERVE: Reserve = Reserve {
+    standard_streams: 3,
+    runtime: 8,
+    listener: 1,
+    ledger: 8,
+    configuration: 1,
+    watch: 2,
+    notices: 2,
+    margin: 7,
+};
+
+impl Reserve {
+    pub const fn total(&self) -> usize {
+        self.standard_streams
+            + self.runtime
+            + self.listener
+            + self.ledger
+            + self.configuration
+            + self.watch
+            + self.notices
+            + self.margin
+    }
+}
+
 impl Limits {
     pub fn derive(allowance: Allowance) -> Limits {
-        // Files, the listener, the runtime, discovery and notices.
-        let free = allowance.descriptors.saturating_sub(32).max(8);
+        let free = allowance.descriptors.saturating_sub(RESERVE.total()).max(8);
         // Clients that ask once and stay, or never ask, take more places than calls do.
         let places = free * 3 / 5;
         let lingering = places / 8;
--- a/crates/forwarder/tests/units.rs
+++ b/crates/forwarder/tests/units.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use reeddock_forwarder::clock::Clock;
+use reeddock_forwarder::limits::{Allowance, Limits, RESERVE};
 use reeddock_forwarder::passage::{Arrival, Departure};
 use tokio::time::Instant;
 
@@ -46,6 +47,17 @@
     assert!(empty.complete());
 }
 
+#[test]
+fn what_is_kept_back_and_all_shares_fit_into_the_descriptors() {
+    for descriptors in 64..=1024 {
+        let limits =
+            Limits::derive(Allowance { memory_bytes: 32_000_000, descriptors, disk_bytes: 3_000_000 });
+        let taken = RESERVE.total() + limits.accepted + limits.lingering + limits.calls;
+        assert_eq!(taken, descriptors);
+        assert!(limits.clients < limits.accepted, "some are told that there is no room");
+    }
+}
+
 #[test]
 fn what_was_stored_is_read_as_the_same_time_and_the_grid_is_kept() {
     let clock = Clock::start();
