--- a/crates/scale/tests/program.rs
+++ b/crates/scale/tests/program.rs
@@ -105,6 +105,12 @@
     assert!(run(&["x.toml", "--quick"]).contains("unexpected argument '--quick'"));
 }
 
+#[test]
+fn a_run_over_its_limit_is_broken_off() {
+    let told = refusal(&[], "limit_s = 60", "limit_s = 0.5");
+    assert!(told.contains("the run: not over within limit_s = 0.5"), "{told}");
+}
+
 #[test]
 fn a_fit_needs_four_sizes() {
     let fit = "\n[fit]\ntargets = [100, 200, 200, 300]\ntarget_targets = 320000\ntarget_forwarders = 1000\n";
