Ports are claimed in blocks; changes count to a trouble while a forwarder catches up from it

Cause: a run of hollow forwarders alone failed once (address in use) while another scale run tried the same port for a moment. In a run of 1,000, changes made over 15 s after a control restart, while hollow forwarders still caught up from it, stood under calm (p99 8.9 s).

--- a/crates/scale/src/ports.rs
+++ b/crates/scale/src/ports.rs
@@ -1,27 +1,52 @@
 //! Ports that nobody is given by chance: below those that systems deal out, so that one which is let go for a
 //! while, as in a restart, is still free when it is wanted again.
+//!
+//! They are claimed in blocks. Whoever holds a block listens on its first port for as long as the process lasts,
+//! so that runs side by side never so much as try each other's ports.
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 
-const FIRST: u32 = 16_000;
-const COUNT: u32 = 16_000;
-/// Runs side by side begin at different places.
-const APART: u32 = 331;
+const FIRST: u16 = 16_000;
+const BLOCKS: u16 = 120;
+/// Ports of a block, with the one that claims it.
+const BLOCK: u16 = 128;
 
-static NEXT: AtomicU32 = AtomicU32::new(0);
+/// The block that ports are given out of.
+struct Block {
+    _claim: TcpListener,
+    next: u16,
+    end: u16,
+}
+
+/// The blocks of this process; the last one is in use.
+static CLAIMED: Mutex<Vec<Block>> = Mutex::new(Vec::new());
 
-/// An address on loopback that was free a moment ago, and that this process does not give out again.
+/// An address on loopback that nobody listens on, and that this process does not give out again.
 pub fn free() -> io::Result<SocketAddr> {
-    for _ in 0..COUNT {
-        let offset =
-            std::process::id().wrapping_mul(APART).wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = u16::try_from(FIRST + offset % COUNT).unwrap_or(u16::MAX);
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    let mut claimed = CLAIMED.lock().unwrap_or_else(PoisonError::into_inner);
+    loop {
+        let Some(block) = claimed.last_mut().filter(|block| block.next < block.end) else {
+            claimed.push(claim()?);
+            continue;
+        };
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, block.next));
+        block.next += 1;
+        // Other programs may have taken it.
         if TcpListener::bind(address).is_ok() {
             return Ok(address);
         }
     }
-    Err(io::Error::new(io::ErrorKind::AddrInUse, format!("no free port from {FIRST} to {}", FIRST + COUNT)))
+}
+
+fn claim() -> io::Result<Block> {
+    for block in 0..BLOCKS {
+        let first = FIRST + block * BLOCK;
+        if let Ok(claim) = TcpListener::bind((Ipv4Addr::LOCALHOST, first)) {
+            return Ok(Block { _claim: claim, next: first + 1, end: first + BLOCK });
+        }
+    }
+    let last = FIRST + BLOCKS * BLOCK;
+    Err(io::Error::new(io::ErrorKind::AddrInUse, format!("no free block of ports from {FIRST} to {last}")))
 }
--- a/crates/scale/src/troubles.rs
+++ b/crates/scale/src/troubles.rs
@@ -35,8 +35,13 @@
         open.filter(|o| o.ended.is_none()).for_each(|o| o.ended = Some(now));
     }
 
+    /// Tells changes that met a trouble from others, for one forwarder and in their order.
+    pub fn attribution(&self, forwarder: u32) -> Attribution<'_> {
+        Attribution { outages: self, forwarder, behind: None }
+    }
+
     /// The outage in whose time, or shortly after it, a forwarder learnt of a change; the last one of several.
-    pub fn over(&self, forwarder: u32, made: Instant, known: Instant) -> Option<Outage> {
+    fn over(&self, forwarder: u32, made: Instant, known: Instant) -> Option<Outage> {
         let meets = |outage: &&Outage| {
             let ended = outage.ended.map_or(known, |ended| ended + AFTERMATH);
             outage.forwarder == forwarder && outage.began <= known && made <= ended
@@ -49,6 +54,26 @@
     }
 }
 
+/// Which outage, if any, each change of one forwarder met.
+pub struct Attribution<'a> {
+    outages: &'a Outages,
+    forwarder: u32,
+    /// Since an outage it has been behind, at least until then.
+    behind: Option<(Outage, Instant)>,
+}
+
+impl Attribution<'_> {
+    /// For a change that was made and came into force then. One that was made while the forwarder still caught up
+    /// counts to the outage from which it did, however long that took.
+    pub fn outage(&mut self, made: Instant, in_force: Instant) -> Option<Outage> {
+        let still = self.behind.filter(|(_, until)| made < *until).map(|(outage, _)| outage);
+        let outage = self.outages.over(self.forwarder, made, in_force).or(still)?;
+        let until = self.behind.map_or(in_force, |(_, until)| until.max(in_force));
+        self.behind = Some((outage, until));
+        Some(outage)
+    }
+}
+
 /// The forwarders that a trouble concerns, in the order in which it reaches them.
 pub fn concerned(scenario: &Scenario, trouble: &Trouble) -> Vec<u32> {
     let all = 0..scenario.forwarders();
--- a/crates/scale/tests/list.rs
+++ b/crates/scale/tests/list.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use reeddock_scale::decode::{Decoder, Entry, Part, Unreadable};
-use reeddock_scale::hollow::{Difference, Known};
+use reeddock_scale::hollow::{Difference, Known, BYTES_A_TARGET};
 use reeddock_scale::truth::{name_of, place_of, Truth};
 
 fn address(place: u32) -> SocketAddrV4 {
@@ -88,6 +88,11 @@
     assert_eq!(read(endless.as_bytes(), 100), Err(Unreadable::TooLong));
 }
 
+#[test]
+fn a_target_takes_sixteen_bytes_at_a_hollow_forwarder() {
+    assert_eq!(BYTES_A_TARGET, 16);
+}
+
 #[test]
 fn names_stand_for_places() {
     assert_eq!(place_of(&name_of(319_999)), Some(319_999));
