--- a/crates/scale/src/measures.rs
+++ b/crates/scale/src/measures.rs
@@ -173,13 +173,18 @@
             }
         };
         let mut attributions = BTreeMap::new();
+        let mut refusals = BTreeMap::new();
         let mut resolution = Spans::default();
         for ProbeRecord { forwarder, generation, probed } in locked(&self.probed).iter() {
             let attribution =
                 attributions.entry(*forwarder).or_insert_with(|| outages.attribution(*forwarder));
             add("real", attribution, *generation, probed.arrived);
+            // Changes come in order: while an earlier destination was refused, this one was not in force either.
+            let earlier = refusals.get(forwarder).copied();
             let made = self.truth.made(*generation);
-            let unsure_since = probed.refused.or(made).unwrap_or(probed.arrived);
+            let unsure_since = probed.refused.into_iter().chain(earlier).chain(made).max();
+            let unsure_since = unsure_since.unwrap_or(probed.arrived);
+            refusals.extend(probed.refused.map(|refused| (*forwarder, refused)));
             resolution.add(probed.arrived.saturating_duration_since(unsure_since));
         }
         for hollow in &self.hollows {
