Lab: sums of calls to destinations that come back cold, and what sharing of outages is worth

Cause: the rule on cold servers counts the sum of all processes, and nothing showed it for 30 or 300; nothing said what forwarders lose that share nothing of destinations that are down.

--- a/crates/emulator/src/account.rs
+++ b/crates/emulator/src/account.rs
@@ -108,6 +108,8 @@
     /// Times that a receipted or pure effect was applied again.
     pub repeats_applied: u64,
     pub falls: u64,
+    /// Of envelopes that met a destination that was down.
+    met_down: Credit,
     purse: Vec<(f64, Duration)>,
 }
 
@@ -118,6 +120,7 @@
     first: Duration,
     credit: f64,
     completed: bool,
+    met_down: bool,
 }
 
 impl Account {
@@ -140,6 +143,7 @@
             probes: 0,
             repeats_applied: 0,
             falls: 0,
+            met_down: Credit::default(),
             purse: vec![(0.0, Duration::ZERO); scenario.programs.len()],
         }
     }
@@ -189,7 +193,27 @@
         self.programs[program].ask(credit);
         self.destinations[destination.0].ask(credit);
         self.second(now).credit.ask(credit);
-        self.tries.push(FirstTry { category, program, destination, first: now, credit, completed: false });
+        self.tries.push(FirstTry {
+            category,
+            program,
+            destination,
+            first: now,
+            credit,
+            completed: false,
+            met_down: false,
+        });
+    }
+
+    /// A try was handed in while its destination was down.
+    pub fn meets_down(&mut self, first_try: usize) {
+        let Some(t) = self.tries.get_mut(first_try).filter(|t| !t.met_down) else { return };
+        t.met_down = true;
+        self.met_down.ask(t.credit);
+    }
+
+    /// Credit of the tries that met a destination that was down.
+    pub fn met_down(&self) -> Credit {
+        self.met_down
     }
 
     /// The first completion of a try counts; says whether this was it.
@@ -199,10 +223,13 @@
         let after = now.saturating_sub(t.first);
         let category = &scenario.categories[t.category];
         let earned = t.credit * category.earned(after);
-        let (c, p, d, first) = (t.category, t.program, t.destination, t.first);
+        let (c, p, d, first, met_down) = (t.category, t.program, t.destination, t.first, t.met_down);
         self.categories[c].earn(earned);
         self.programs[p].earn(earned);
         self.destinations[d.0].earn(earned);
+        if met_down {
+            self.met_down.earn(earned);
+        }
         self.second(first).credit.earn(earned);
         self.second(now).completed += 1;
         self.latency.saturating_record(u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod figure;
 pub mod layout;
 pub mod limit;
+pub mod observed;
 pub mod oracles;
 pub mod partner;
 pub mod policies;
@@ -41,6 +42,16 @@
     run_with(scenario, seed, policy.name(), &|now, terms, host| policy.open(now, terms, host))
 }
 
+/// Plays a scenario and gives, beside its report, what only the emulator can see.
+pub fn observe(
+    scenario: &Scenario,
+    seed: u64,
+    name: &str,
+    maker: &policy::Maker,
+) -> (Report, observed::Observed) {
+    world::World::new(scenario, seed, name, maker).play_observed()
+}
+
 /// Plays a scenario under a policy of the caller's own.
 pub fn run_with(scenario: &Scenario, seed: u64, name: &str, maker: &policy::Maker) -> Report {
     world::World::new(scenario, seed, name, maker).play()
--- a/crates/emulator/src/oracles.rs
+++ b/crates/emulator/src/oracles.rs
@@ -390,6 +390,16 @@
         self.saw.entry(target).or_default().insert(forwarder);
     }
 
+    /// Whether a forwarder was told of the outage that stands at a target, or stood last.
+    pub fn knows_of_outage(&self, forwarder: ForwarderNo, target: TargetNo) -> bool {
+        self.saw.get(&target).is_some_and(|saw| saw.contains(&forwarder))
+    }
+
+    /// Whether any forwarder was told of it.
+    pub fn outage_is_known(&self, target: TargetNo) -> bool {
+        self.saw.get(&target).is_some_and(|saw| !saw.is_empty())
+    }
+
     /// A cold target fell over; this is the work that it was sent in the span that counts. The rule is broken where
     /// over two thirds of it came from forwarders that had been told of the outage.
     pub fn fell(
--- a/crates/emulator/src/partner.rs
+++ b/crates/emulator/src/partner.rs
@@ -5,6 +5,7 @@
 
 use crate::layout::{ForwarderNo, TargetNo, TargetPlan};
 use crate::limit::Gate;
+use crate::observed::Return;
 use crate::scenario::Returning;
 
 /// One call on its way to, at, or from a target.
@@ -31,6 +32,10 @@
     /// Outages among these.
     pub outages: u32,
     pub returned: Option<Duration>,
+    /// All returns so far, each with what the target was sent after it.
+    pub(crate) returns: Vec<Return>,
+    /// Since when it is down.
+    pub(crate) down_since: Option<Duration>,
     pub fallen_until: Option<Duration>,
     /// Not there any more: replaced, or left for good.
     pub gone: bool,
@@ -43,6 +48,14 @@
     pub idle: BTreeMap<ForwarderNo, Vec<Duration>>,
 }
 
+/// What a cold target was sent in the span that counts.
+pub(crate) struct Window<'a> {
+    pub pushed: &'a VecDeque<(Duration, f64, ForwarderNo)>,
+    pub sum: f64,
+    /// What the terms allow in that span, without what is left to chance.
+    pub allowed: f64,
+}
+
 /// What a cold target was sent when that was more than it bears.
 pub struct Fall {
     pub pushed: Vec<(Duration, f64, ForwarderNo)>,
@@ -62,6 +75,8 @@
             troubles: Vec::new(),
             outages: 0,
             returned: None,
+            returns: Vec::new(),
+            down_since: None,
             fallen_until: None,
             gone: false,
             pushed: VecDeque::new(),
@@ -99,6 +114,15 @@
         self.budget(now, terms) - recent.map(|p| p.1).sum::<f64>()
     }
 
+    /// Work that it was sent in the span that counts, by whom, with what is allowed in it now; none once it is warm.
+    pub(crate) fn window(&self, now: Duration, terms: &Returning) -> Option<Window<'_>> {
+        if self.warmth(now, terms) >= 1.0 {
+            return None;
+        }
+        let sum = self.pushed.iter().map(|p| p.1).sum();
+        Some(Window { pushed: &self.pushed, sum, allowed: self.budget(now, terms) })
+    }
+
     /// Work has reached it. While it is cold, more than a multiple of what it can do within a span tips it.
     pub fn push(&mut self, now: Duration, work: f64, by: ForwarderNo, terms: &Returning) -> Option<Fall> {
         let warmth = self.warmth(now, terms);
--- a/crates/emulator/src/policies/desk.rs
+++ b/crates/emulator/src/policies/desk.rs
@@ -85,6 +85,9 @@
     /// Held and not out, in the order in which they were taken.
     waiting: VecDeque<u64>,
     known: BTreeMap<TargetId, Known>,
+    /// Targets of each destination, and those that have told a wait.
+    by_destination: BTreeMap<DestinationId, BTreeSet<TargetId>>,
+    told_waits: BTreeSet<TargetId>,
     /// Waits told by destinations whose targets share one.
     waits: BTreeMap<DestinationId, Duration>,
     lines: BTreeMap<KeyId, VecDeque<u64>>,
@@ -107,6 +110,8 @@
             left: BTreeMap::new(),
             waiting: VecDeque::new(),
             known: BTreeMap::new(),
+            by_destination: BTreeMap::new(),
+            told_waits: BTreeSet::new(),
             waits: BTreeMap::new(),
             lines: BTreeMap::new(),
             rests: BTreeMap::new(),
@@ -192,16 +197,15 @@
 
     fn able(&self, envelope: &Held, now: Duration) -> Vec<TargetId> {
         let shared = self.waits.get(&envelope.destination).copied().unwrap_or_default();
-        let open = |t: &Known| {
-            t.destination == envelope.destination
-                && t.standing == Standing::Active
-                && now >= if t.apart { t.wait_until } else { shared }
-        };
-        self.known.iter().filter(|(_, t)| open(t)).map(|(id, _)| *id).collect()
+        let open =
+            |t: &Known| t.standing == Standing::Active && now >= if t.apart { t.wait_until } else { shared };
+        let targets = self.by_destination.get(&envelope.destination).into_iter().flatten();
+        targets.filter(|id| self.known.get(id).is_some_and(open)).copied().collect()
     }
 
     fn next_wake(&self, now: Duration) -> Option<Duration> {
-        let waits = self.waits.values().chain(self.known.values().map(|t| &t.wait_until)).copied();
+        let told = self.told_waits.iter().filter_map(|id| self.known.get(id)).map(|t| &t.wait_until);
+        let waits = self.waits.values().chain(told).copied();
         let held = self.waiting.iter().filter_map(|n| self.held.get(n));
         let times = held.flat_map(|e| [e.outer_limit, e.not_before]);
         let rests = self.rests.values().map(|r| r.0);
@@ -226,6 +230,7 @@
                 wait_until: Duration::ZERO,
             });
             known.standing = line.standing;
+            self.by_destination.entry(known.destination).or_default().insert(line.target);
         }
     }
 
@@ -303,6 +308,7 @@
         if let Some(known) = self.known.get_mut(&target) {
             if let Outcome::Full(Some(wait)) = outcome {
                 let until = if known.apart {
+                    self.told_waits.insert(target);
                     &mut known.wait_until
                 } else {
                     self.waits.entry(known.destination).or_default()
--- a/crates/emulator/src/policies/habits.rs
+++ b/crates/emulator/src/policies/habits.rs
@@ -37,7 +37,7 @@
 }
 
 /// The wait before the nth further try: doubling from 100 ms, 5 s at most, drawn from the upper half.
-fn back_off(tries: u32, chance: &mut Chance) -> Duration {
+pub(super) fn back_off(tries: u32, chance: &mut Chance) -> Duration {
     let most = (0.1 * 2.0_f64.powi(tries.saturating_sub(1).min(10) as i32)).min(5.0);
     Duration::from_secs_f64(most * (0.5 + 0.5 * chance.random::<f64>()))
 }
--- a/crates/emulator/src/policies/mod.rs
+++ b/crates/emulator/src/policies/mod.rs
@@ -3,6 +3,7 @@
 mod desk;
 mod habits;
 mod module;
+pub mod sharing;
 
 use std::time::Duration;
 
--- /dev/null
+++ b/crates/emulator/src/policies/sharing.rs
@@ -0,0 +1,177 @@
+//! What forwarders could tell each other of destinations that are down: the same circuit, kept by each alone or
+//! fed by all. A baseline that shows what sharing is worth; nothing of it reaches the daemon.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use rand::RngExt;
+use reeddock::{Host, Outcome, TargetId, Terms};
+
+use super::desk::{Desk, Habit, Held, View};
+use super::habits::back_off;
+use crate::figure::Chance;
+use crate::policy::Policy;
+
+/// Failures within the window that restrain a target.
+const THRESHOLD: usize = 3;
+/// From a failure or a trial to the next trial.
+const RECOVERY_DELAY: Duration = Duration::from_secs(5);
+/// Failures count together for so long.
+const WINDOW: Duration = Duration::from_secs(50);
+/// A record that can no longer matter is dropped after so much longer.
+const RECORD_MARGIN: Duration = Duration::from_secs(5);
+/// News kept for each target.
+const NEWS_KEPT: usize = 64;
+/// How often a forwarder that holds something looks at the record.
+const LOOK: Duration = Duration::from_millis(250);
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum News {
+    Failed,
+    Succeeded,
+    /// A trial left.
+    Tried,
+}
+
+struct Told {
+    at: Duration,
+    from: usize,
+    news: News,
+}
+
+/// What a target's circuit says to a dispatch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leave {
+    Send,
+    Trial,
+    Hold,
+}
+
+/// The news of all members, and how long they take from one to another.
+pub struct Exchange {
+    delay: Duration,
+    members: usize,
+    told: BTreeMap<TargetId, VecDeque<Told>>,
+}
+
+impl Exchange {
+    /// An exchange whose news reach other members after this delay.
+    pub fn new(delay: Duration) -> Exchange {
+        Exchange { delay, members: 0, told: BTreeMap::new() }
+    }
+
+    /// The number of a further member.
+    pub fn join(&mut self) -> usize {
+        self.members += 1;
+        self.members - 1
+    }
+
+    fn tell(&mut self, target: TargetId, at: Duration, from: usize, news: News) {
+        let told = self.told.entry(target).or_default();
+        // Nothing is known against it, so that a success is no news.
+        if news == News::Succeeded && told.is_empty() {
+            return;
+        }
+        told.push_back(Told { at, from, news });
+        if told.len() > NEWS_KEPT {
+            told.pop_front();
+        }
+    }
+
+    /// What the circuit of a target is at one member, by the news that have reached it.
+    pub fn leave(&self, target: TargetId, now: Duration, member: usize) -> Leave {
+        let Some(told) = self.told.get(&target) else { return Leave::Send };
+        let reached = told.iter().filter(|t| t.from == member || t.at + self.delay <= now);
+        let mut failures: Vec<Duration> = Vec::new();
+        let mut restrained_until: Option<Duration> = None;
+        let mut last_write = Duration::ZERO;
+        let expired = |until: Option<Duration>, last: Duration, now: Duration| {
+            now > until.unwrap_or_default().max(last + WINDOW) + RECORD_MARGIN
+        };
+        for news in reached {
+            if expired(restrained_until, last_write, news.at) {
+                failures.clear();
+                restrained_until = None;
+            }
+            last_write = last_write.max(news.at);
+            match news.news {
+                News::Succeeded => {
+                    failures.clear();
+                    restrained_until = None;
+                }
+                News::Tried => restrained_until = Some(news.at + RECOVERY_DELAY),
+                News::Failed => {
+                    failures.push(news.at);
+                    failures.retain(|at| news.at.saturating_sub(*at) <= WINDOW);
+                    if restrained_until.is_some() || failures.len() >= THRESHOLD {
+                        restrained_until = restrained_until.max(Some(news.at + RECOVERY_DELAY));
+                    }
+                }
+            }
+        }
+        match restrained_until {
+            Some(_) if expired(restrained_until, last_write, now) => Leave::Send,
+            Some(until) if now < until => Leave::Hold,
+            Some(_) => Leave::Trial,
+            None => Leave::Send,
+        }
+    }
+
+    /// A dispatch is about to leave as a trial.
+    pub fn tried(&mut self, target: TargetId, now: Duration, member: usize) {
+        self.tell(target, now, member, News::Tried);
+    }
+
+    /// A dispatch has ended at one member.
+    pub fn ended(&mut self, target: TargetId, now: Duration, member: usize, outcome: Outcome) {
+        match outcome {
+            Outcome::Completed => self.tell(target, now, member, News::Succeeded),
+            Outcome::Error | Outcome::TimedOut | Outcome::Broken | Outcome::NoConnection => {
+                self.tell(target, now, member, News::Failed);
+            }
+            Outcome::Full(_) | Outcome::CalledOff | Outcome::Unsent | Outcome::Unreadable => {}
+        }
+    }
+}
+
+/// An exchange that the forwarders of one run hold together.
+pub type SharedExchange = Arc<Mutex<Exchange>>;
+
+/// Opens a forwarder whose circuits are fed by an exchange; by one of its own it knows only what it saw itself.
+pub fn circuit(exchange: &SharedExchange, terms: Terms, _host: &mut dyn Host) -> Box<dyn Policy> {
+    let member = exchange.lock().unwrap_or_else(PoisonError::into_inner).join();
+    Box::new(Desk::open(terms, FedCircuit { exchange: exchange.clone(), member }))
+}
+
+struct FedCircuit {
+    exchange: SharedExchange,
+    member: usize,
+}
+
+impl Habit for FedCircuit {
+    fn pick(&mut self, _: &Held, view: &View, chance: &mut Chance) -> Option<TargetId> {
+        let mut exchange = self.exchange.lock().unwrap_or_else(PoisonError::into_inner);
+        let leave = |t: &TargetId| exchange.leave(*t, view.now, self.member);
+        let open: Vec<TargetId> = view.able.iter().filter(|t| leave(t) == Leave::Send).copied().collect();
+        if !open.is_empty() {
+            return Some(open[chance.random_range(0..open.len())]);
+        }
+        let trial = view.able.iter().find(|t| leave(t) == Leave::Trial).copied()?;
+        exchange.tried(trial, view.now, self.member);
+        Some(trial)
+    }
+
+    fn ended(&mut self, target: TargetId, outcome: Outcome, now: Duration) {
+        let mut exchange = self.exchange.lock().unwrap_or_else(PoisonError::into_inner);
+        exchange.ended(target, now, self.member, outcome);
+    }
+
+    fn again(&mut self, envelope: &Held, _: Outcome, chance: &mut Chance) -> Option<Duration> {
+        Some(back_off(envelope.dispatches, chance))
+    }
+
+    fn looks_every(&self) -> Duration {
+        LOOK
+    }
+}
--- a/crates/emulator/src/world/forwarders.rs
+++ b/crates/emulator/src/world/forwarders.rs
@@ -318,6 +318,10 @@
             let at = now + after.span(&mut self.chances.clients);
             self.agenda.enter(at, Event::Withdraw(envelope));
         }
+        if self.is_down(self.tries[first_try.0].destination) {
+            self.down.handed_in += 1;
+            self.account.meets_down(first_try.0);
+        }
         self.envelopes.push(Envelope {
             id: envelope_id(envelope),
             first_try,
@@ -651,6 +655,11 @@
             forming.insert(target, call);
             call
         });
+        if self.partners[target.0].outages > 0 {
+            self.down.dispatches += 1;
+            self.down.first_lost += u64::from(no == 0);
+            self.down.first_lost_to_known += u64::from(no == 0 && self.oracles.outage_is_known(target));
+        }
         let part = self.calls[call.0].parts.len();
         self.calls[call.0].parts.push((envelope, no));
         self.calls[call.0].waiting.push(true);
@@ -683,6 +692,7 @@
             self.agenda.enter(now + way, Event::Reach(call));
             return;
         }
+        self.down.connections += u64::from(partner.outages > 0);
         let full = most.is_some_and(|most| partner.connections >= most);
         if refused || full {
             partner.on_the_way -= 1;
--- a/crates/emulator/src/world/mod.rs
+++ b/crates/emulator/src/world/mod.rs
@@ -14,6 +14,7 @@
 use crate::agenda::Agenda;
 use crate::figure::Chance;
 use crate::layout::{chance, purpose, DestinationNo, ForwarderNo, Layout, TargetNo};
+use crate::observed::{Observed, SentToDown};
 use crate::oracles::{CategoryRules, EnvelopeNo, Oracles, Place, TryNo};
 use crate::partner::{CallNo, DestinationState, Partner};
 use crate::policy::Maker;
@@ -83,6 +84,7 @@
     frozen: Vec<(ForwarderNo, Vec<(TargetNo, Standing)>)>,
     oracles: Oracles,
     account: Account,
+    down: SentToDown,
     /// First tries that may still bring an event: open, or on their way back.
     open: usize,
     arrivals_over: usize,
@@ -150,6 +152,7 @@
             frozen: Vec::new(),
             oracles,
             account: Account::new(scenario, layout.destinations.len()),
+            down: SentToDown::default(),
             open: 0,
             arrivals_over: 0,
             turns: 0,
@@ -178,6 +181,34 @@
 
     /// Plays until every first try has its end.
     pub fn play(mut self) -> Report {
+        self.play_on();
+        self.report()
+    }
+
+    /// The same, and gives what only the emulator can see.
+    pub fn play_observed(mut self) -> (Report, Observed) {
+        self.play_on();
+        let observed = self.observed();
+        (self.report(), observed)
+    }
+
+    fn observed(&self) -> Observed {
+        let mut ramps = Vec::new();
+        let mut down = self.down;
+        for (n, partner) in self.partners.iter().enumerate() {
+            let destination = partner.plan.destination;
+            let usual = self.layout.destinations[destination.0].usual;
+            ramps.extend(partner.returns.iter().map(|r| r.ramp(TargetNo(n), destination, usual)));
+            let since = partner.down_since.unwrap_or(self.scenario.lasts.0);
+            down.target_seconds += self.scenario.lasts.0.saturating_sub(since).as_secs_f64();
+        }
+        let met = self.account.met_down();
+        (down.credit_asked, down.credit_earned) = (rounded(met.asked), rounded(met.earned));
+        down.target_seconds = rounded(down.target_seconds);
+        Observed { ramps, down }
+    }
+
+    fn play_on(&mut self) {
         for n in 0..self.stations.len() {
             self.start(ForwarderNo(n));
         }
@@ -197,7 +228,6 @@
             }
             self.handle(event);
         }
-        self.report()
     }
 
     fn handle(&mut self, event: Event) {
--- a/crates/emulator/src/world/targets.rs
+++ b/crates/emulator/src/world/targets.rs
@@ -8,7 +8,9 @@
 use super::{Event, World};
 use crate::figure::to_span;
 use crate::layout::{one_way, DestinationNo, ForwarderNo, TargetNo};
-use crate::partner::CallNo;
+use crate::observed::{Ramp, Return};
+use crate::partner::{falls_over, CallNo, Fall};
+use crate::report::rounded;
 use crate::trouble::Trouble;
 
 /// Work and push of one more envelope within a call, against the call itself.
@@ -104,7 +106,9 @@
     fn push(&mut self, target: TargetNo, work: f64, by: ForwarderNo) {
         let now = self.now();
         let returning = &self.scenario.returning;
-        let Some(fall) = self.partners[target.0].push(now, work, by, returning) else { return };
+        let fall = self.partners[target.0].push(now, work, by, returning);
+        self.observe_push(target, fall.as_ref());
+        let Some(fall) = fall else { return };
         self.account.falls += 1;
         self.oracles.fell(now, target, &fall.pushed, fall.budget);
         let until = now + returning.stays_down.0;
@@ -114,25 +118,70 @@
         self.break_connections(target);
     }
 
+    /// Keeps the worst window of a target that warms up.
+    fn observe_push(&mut self, target: TargetNo, fall: Option<&Fall>) {
+        let now = self.now();
+        let partner = &self.partners[target.0];
+        let Some(last) = partner.returns.last() else { return };
+        let knows = |by: &ForwarderNo| self.oracles.knows_of_outage(*by, target);
+        let known = |pushed: &mut dyn Iterator<Item = &(Duration, f64, ForwarderNo)>| {
+            pushed.filter(|p| knows(&p.2)).map(|p| p.1).sum::<f64>()
+        };
+        let Some(window) = partner.window(now, &self.scenario.returning) else { return };
+        let (sum, known) = match fall {
+            Some(fall) => (fall.pushed.iter().map(|p| p.1).sum(), known(&mut fall.pushed.iter())),
+            None => (window.sum, known(&mut window.pushed.iter())),
+        };
+        let budget = falls_over(window.allowed);
+        if !last.is_worse(sum, budget) {
+            return;
+        }
+        let destination = partner.plan.destination;
+        let nothing = last.ramp(target, destination, self.layout.destinations[destination.0].usual);
+        let ramp = Ramp {
+            after_s: rounded(now.saturating_sub(last.at).as_secs_f64()),
+            sum: rounded(sum),
+            allowed: rounded(window.allowed),
+            budget: rounded(budget),
+            known: rounded(known),
+            fell: fall.is_some(),
+            ..nothing
+        };
+        if let Some(last) = self.partners[target.0].returns.last_mut() {
+            last.worst = Some(ramp);
+        }
+    }
+
+    /// Whether nothing of a destination is up now.
+    pub(super) fn is_down(&self, destination: DestinationNo) -> bool {
+        let targets = &self.destinations[destination.0].targets;
+        targets.iter().all(|t| self.partners[t.0].outages > 0 || self.partners[t.0].gone)
+    }
+
     pub(super) fn risen(&mut self, target: TargetNo) {
         self.partners[target.0].fallen_until = None;
-        self.outage_ends(target);
+        self.outage_ends(target, true);
     }
 
     pub(super) fn outage_begins(&mut self, target: TargetNo) {
+        let now = self.now();
         let partner = &mut self.partners[target.0];
         partner.outages += 1;
         if partner.outages == 1 {
+            partner.down_since = Some(now);
             self.oracles.outage_begins(target);
         }
     }
 
-    pub(super) fn outage_ends(&mut self, target: TargetNo) {
+    pub(super) fn outage_ends(&mut self, target: TargetNo, was_a_fall: bool) {
         let now = self.now();
         let partner = &mut self.partners[target.0];
         partner.outages = partner.outages.saturating_sub(1);
         if partner.outages == 0 {
             partner.returned = Some(now);
+            partner.returns.push(Return::new(now, was_a_fall));
+            let since = partner.down_since.take().unwrap_or(now);
+            self.down.target_seconds += now.saturating_sub(since).as_secs_f64();
         }
     }
 
--- a/crates/emulator/src/world/troubles.rs
+++ b/crates/emulator/src/world/troubles.rs
@@ -42,7 +42,7 @@
         for target in &met {
             self.partners[target.0].troubles.retain(|t| *t != n);
             if trouble.is_outage() {
-                self.outage_ends(*target);
+                self.outage_ends(*target, false);
             }
         }
         match trouble {
--- a/crates/emulator/tests/emulator/main.rs
+++ b/crates/emulator/tests/emulator/main.rs
@@ -2,5 +2,6 @@
 
 mod returning;
 mod rules;
+mod sharing;
 mod spoilt;
 mod worlds;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,9 +3,11 @@
 
 mod draw;
 mod page;
+mod ramp;
 mod results;
 mod runs;
 mod search;
+mod sharing;
 mod shrink;
 
 use std::fmt;
@@ -15,9 +17,11 @@
 
 pub use draw::draw;
 pub use page::page;
+pub use ramp::{RampRow, Ramps};
 pub use results::{Figures, Finding, Result, Row, Spread, SweepRow};
 pub use runs::{Comparison, Lab, Sweep};
 pub use search::Search;
+pub use sharing::{Sharing, SharingRow, SharingTable};
 pub use shrink::{shrink, Want};
 
 /// What is wrong, in one line.
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,5 +1,7 @@
 //! The program `reeddock-lab`. All figures that it prints are emulated.
 
+mod studies;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -65,6 +67,10 @@
     },
     /// Play what a search found, and say whether it is still seen.
     Replay { file: PathBuf },
+    /// What a fleet sends to destinations that come back cold, against the budget over which they fall.
+    Ramp(studies::RampLine),
+    /// What forwarders that share nothing lose at destinations that are down, against ones that share.
+    Sharing(studies::SharingLine),
     /// One HTML page with plots of the results in a folder.
     Report {
         folder: PathBuf,
@@ -139,6 +145,8 @@
             lab.search(&Search { lasts, seed, out, keep })?.print(json)
         }
         Command::Replay { file } => lab.replay(&file)?.print(json),
+        Command::Ramp(line) => line.play(lab, json),
+        Command::Sharing(line) => line.play(lab, json),
         Command::Report { folder, to } => {
             let to = to.unwrap_or_else(|| folder.join("report.html"));
             let plots = reeddock_lab::page(&folder, &to)?;
--- a/crates/lab/src/runs.rs
+++ b/crates/lab/src/runs.rs
@@ -35,6 +35,28 @@
     bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
 }
 
+/// A scenario as it stands, the points that settings span, and the scenario at each point.
+pub(crate) type Points = (Scenario, Vec<Vec<(String, String)>>, Vec<Scenario>);
+
+/// Reads a scenario and puts each combination of the settings' values in.
+pub(crate) fn points(file: &Path, settings: &[Setting]) -> std::result::Result<Points, Fault> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|e| Fault::line(format!("{}: cannot be read: {e}", file.display())))?;
+    let name = file.display().to_string();
+    let plain = Scenario::parse(&name, &text, &[])?;
+    let mut points: Vec<Vec<(String, String)>> = vec![Vec::new()];
+    for setting in settings {
+        let with = |point: &Vec<(String, String)>| -> Vec<Vec<(String, String)>> {
+            let further = setting.values.iter().map(|v| (setting.key.clone(), v.clone()));
+            further.map(|f| point.iter().cloned().chain([f]).collect()).collect()
+        };
+        points = points.iter().flat_map(with).collect();
+    }
+    let read = |point: &Vec<(String, String)>| Scenario::parse(&name, &text, point).map_err(Fault::from);
+    let scenarios = points.iter().map(read).collect::<std::result::Result<Vec<_>, _>>()?;
+    Ok((plain, points, scenarios))
+}
+
 impl Lab {
     /// With so many threads; with all cores where none are named.
     pub fn with_threads(threads: Option<usize>) -> std::result::Result<Lab, Fault> {
@@ -58,6 +80,30 @@
         reports
     }
 
+    /// Does the same with each of these, in this order, on all threads.
+    pub(crate) fn gather<Run: Sync, Day: Send>(
+        &self,
+        runs: &[Run],
+        what: &'static str,
+        one: impl Fn(&Run) -> Day + Sync,
+    ) -> std::result::Result<Vec<Day>, Fault> {
+        if runs.is_empty() || runs.len() as u64 > MOST_RUNS {
+            let many = runs.len();
+            return Err(Fault::line(format!(
+                "{many} runs: expected 1 seed or more, and {MOST_RUNS} runs at most"
+            )));
+        }
+        let bar = progress(runs.len() as u64, what);
+        let counted = |run: &Run| {
+            let day = one(run);
+            bar.inc(1);
+            day
+        };
+        let days = self.pool.install(|| runs.par_iter().map(counted).collect());
+        bar.finish_and_clear();
+        Ok(days)
+    }
+
     pub(crate) fn pool(&self) -> &ThreadPool {
         &self.pool
     }
@@ -75,20 +121,7 @@
     }
 
     pub fn sweep(&self, file: &Path, what: &Sweep) -> std::result::Result<Result, Fault> {
-        let text = std::fs::read_to_string(file)
-            .map_err(|e| Fault::line(format!("{}: cannot be read: {e}", file.display())))?;
-        let name = file.display().to_string();
-        let plain = Scenario::parse(&name, &text, &[])?;
-        let mut points: Vec<Vec<(String, String)>> = vec![Vec::new()];
-        for setting in &what.settings {
-            let with = |point: &Vec<(String, String)>| -> Vec<Vec<(String, String)>> {
-                let further = setting.values.iter().map(|v| (setting.key.clone(), v.clone()));
-                further.map(|f| point.iter().cloned().chain([f]).collect()).collect()
-            };
-            points = points.iter().flat_map(with).collect();
-        }
-        let read = |point: &Vec<(String, String)>| Scenario::parse(&name, &text, point).map_err(Fault::from);
-        let scenarios = points.iter().map(read).collect::<std::result::Result<Vec<_>, _>>()?;
+        let (plain, points, scenarios) = points(file, &what.settings)?;
         let comparison = Comparison { policies: what.policies.clone(), seeds: what.seeds };
         let (rows, _) = self.rows(&scenarios.iter().collect::<Vec<_>>(), &comparison, "sweep")?;
         let each = what.policies.0.len();
