--- a/crates/forwarder/src/discovery.rs
+++ b/crates/forwarder/src/discovery.rs
@@ -1,23 +1,16 @@
 //! The watch on the list of targets, opened again whenever it breaks or falls silent.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use http_body_util::BodyExt;
-use reeddock_protocol::{wait_of, watch, ListPart};
+use reeddock_protocol::{wait_of, watch};
 use tokio::sync::{mpsc, watch as told};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep_until, timeout_at, Instant};
 
 use crate::connections::Connection;
-use crate::owner::Event;
-use crate::reopening::{Loss, Reopening};
+use crate::events::Event;
+use crate::list_reader::read;
 use crate::seldom::Seldom;
-
-/// An empty line comes every two seconds; two that stay away are a silence.
-const SILENT_AFTER: Duration = Duration::from_millis(4500);
-const OPEN_WITHIN: Duration = Duration::from_secs(1);
-/// The whole list of a large fleet fits well inside this.
-const LONGEST_LINE: usize = 16 * 1024 * 1024;
+use crate::watch_schedule::{Loss, Periods, WatchSchedule};
 
 /// Where discovery is from now on; never, once nobody can tell that any more.
 pub(crate) async fn moved(at: &mut told::Receiver<SocketAddr>) {
@@ -30,29 +23,31 @@
 pub async fn follow(
     mut at: told::Receiver<SocketAddr>,
     mut known: u64,
-    mut reopening: Reopening,
+    mut schedule: WatchSchedule,
     owner: mpsc::Sender<Event>,
 ) {
+    let start = Instant::now();
     let mut seldom = Seldom::default();
     loop {
-        let before = known;
         let mut heard = false;
         let discovery = *at.borrow_and_update();
+        let call = Call {
+            discovery,
+            give_up_at: start + schedule.begin(start.elapsed()),
+            periods: schedule.periods(),
+        };
         let loss = tokio::select! {
-            loss = listen(discovery, &mut known, &mut heard, &owner) => loss,
+            loss = call.listen(&mut known, &mut heard, &owner) => loss,
             () = moved(&mut at) => {
-                reopening.start_over();
+                schedule.moved(start.elapsed());
                 continue;
             }
         };
-        if heard || known != before {
-            reopening.start_over();
-        }
-        let rest = reopening.rest(&loss);
+        let next = start + schedule.lost(start.elapsed(), &loss, heard);
         if let Some(more) = seldom.now() {
-            let (Loss::Broken(fault) | Loss::Refused(fault, _)) = &loss;
+            let rest = next.saturating_duration_since(Instant::now());
             tracing::warn!(
-                %fault,
+                fault = %loss,
                 ?rest,
                 more,
                 "the watch on the list of targets ended and is opened again after a rest"
@@ -62,67 +57,39 @@
             return;
         }
         tokio::select! {
-            () = sleep(rest) => {}
-            () = moved(&mut at) => reopening.start_over(),
+            () = sleep_until(next) => {}
+            () = moved(&mut at) => schedule.moved(start.elapsed()),
         }
     }
 }
 
-/// One watch, until it ends; says why it did.
-async fn listen(
+/// One call for the watch.
+struct Call {
     discovery: SocketAddr,
-    known: &mut u64,
-    heard: &mut bool,
-    owner: &mpsc::Sender<Event>,
-) -> Loss {
-    let broken = |fault: &str| Loss::Broken(fault.to_owned());
-    let request = match watch(discovery, *known) {
-        Ok(request) => request,
-        Err(fault) => return Loss::Broken(fault),
-    };
-    let mut connection = match Connection::open(discovery, OPEN_WITHIN, None).await {
-        Ok(connection) => connection,
-        Err(ending) => return Loss::Broken(format!("discovery: {ending:?}")),
-    };
-    let response = match timeout(SILENT_AFTER, connection.send(request)).await {
-        Err(_) => return broken("no answer"),
-        Ok(Err(ending)) => return Loss::Broken(format!("discovery: {ending:?}")),
-        Ok(Ok(response)) => response,
-    };
-    let (answer, mut body) = response.into_parts();
-    if answer.status != http::StatusCode::OK {
-        return Loss::Refused(format!("answered {}", answer.status), wait_of(&answer));
-    }
-    let mut line: Vec<u8> = Vec::new();
-    loop {
-        let frame = match timeout(SILENT_AFTER, body.frame()).await {
-            Err(_) => return broken("silent"),
-            Ok(None) => return broken("closed"),
-            Ok(Some(Err(e))) => return Loss::Broken(e.to_string()),
-            Ok(Some(Ok(frame))) => frame,
+    give_up_at: Instant,
+    periods: Periods,
+}
+
+impl Call {
+    /// Opens the watch and reads it until it ends; says why it did.
+    async fn listen(self, known: &mut u64, heard: &mut bool, owner: &mpsc::Sender<Event>) -> Loss {
+        let request = match watch(self.discovery, *known) {
+            Ok(request) => request,
+            Err(fault) => return Loss::Broken(fault),
         };
-        for byte in frame.into_data().unwrap_or_default() {
-            if byte != b'\n' {
-                line.push(byte);
-                if line.len() > LONGEST_LINE {
-                    return broken("a line has no end");
-                }
-                continue;
-            }
-            *heard = true;
-            if !line.trim_ascii().is_empty() {
-                let part = match ListPart::decode(&line) {
-                    Ok(part) => part,
-                    Err(fault) => return Loss::Broken(format!("a line that can't be read: {fault}")),
-                };
-                let generation = part.generation;
-                if owner.send(Event::List(part)).await.is_err() {
-                    return broken("the forwarder stops");
-                }
-                // Only now: a watch that is left for another address before this asks for it again.
-                *known = generation;
-            }
-            line.clear();
+        let mut connection = match Connection::open(self.discovery, self.periods.connect, None).await {
+            Ok(connection) => connection,
+            Err(ending) => return Loss::Broken(format!("discovery: {ending:?}")),
+        };
+        let response = match timeout_at(self.give_up_at, connection.send(request)).await {
+            Err(_) => return Loss::GivenUp,
+            Ok(Err(ending)) => return Loss::Broken(format!("discovery: {ending:?}")),
+            Ok(Ok(response)) => response,
+        };
+        let (answer, body) = response.into_parts();
+        if answer.status != http::StatusCode::OK {
+            return Loss::Refused(format!("answered {}", answer.status), wait_of(&answer));
         }
+        read(connection, body, known, heard, self.periods.silent_after, owner).await
     }
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 mod draw;
 mod page;
 mod ramp;
+mod record;
 mod results;
 mod runs;
 mod search;
@@ -18,6 +19,7 @@
 pub use draw::draw;
 pub use page::page;
 pub use ramp::{RampRow, Ramps};
+pub use record::{compare_recordings, Compared, Recorded, RecordingRun, StreamRun};
 pub use results::{Figures, Finding, Result, Row, Spread, SweepRow};
 pub use runs::{Comparison, Lab, Sweep};
 pub use search::Search;
