--- a/crates/ledger/examples/owed.rs
+++ b/crates/ledger/examples/owed.rs
@@ -65,12 +65,13 @@
     let begun = Instant::now();
     while oldest < newest {
         let mut group = Vec::new();
-        for number in oldest..newest.min(oldest + GROUP) {
+        let last = newest.min(oldest + GROUP);
+        for number in oldest..last {
             group.push(Record::Begun { id: id(number), no: 0, target: "target".into(), at: 1 });
             group.push(Record::Ended { id: id(number), notice: None });
-            oldest += 1;
             due += new_for_each;
         }
+        oldest = last;
         while due >= 1.0 {
             group.push(Record::Taken(taken(newest, body)));
             newest += 1;
