--- a/crates/ledger/examples/owed.rs
+++ b/crates/ledger/examples/owed.rs
@@ -2,7 +2,7 @@
 //! beside new ones. Each command prints one JSON line; run each in a process of its own, as memory is read from
 //! the process.
 //!
-//!     cargo run --release -p reeddock-ledger --example owed -- fill FOLDER COUNT BODY_BYTES
+//!     cargo run --release -p reeddock-ledger --example owed -- fill FOLDER COUNT BODY_BYTES [DESTINATIONS]
 //!     cargo run --release -p reeddock-ledger --example owed -- start FOLDER COUNT BODY_BYTES
 //!     cargo run --release -p reeddock-ledger --example owed -- drain FOLDER COUNT BODY_BYTES NEW_FOR_EACH_ENDED
 
@@ -15,21 +15,21 @@
 
 /// Envelopes in one append.
 const GROUP: u64 = 16;
-/// Destinations that envelopes are spread over.
+/// Destinations that envelopes are spread over, where none are named.
 const DESTINATIONS: u64 = 320_000;
 
 fn id(number: u64) -> String {
     format!("{number:08x}-4c1e-4a2b-9d3f-{number:012x}")
 }
 
-fn taken(number: u64, body: &Bytes) -> Taken {
+fn taken(number: u64, body: &Bytes, destinations: u64) -> Taken {
     Taken {
         idempotency_key: None,
         id: id(number),
         category: "order".into(),
         tenant: None,
         key: None,
-        destination: number % DESTINATIONS,
+        destination: number % destinations,
         outer_limit: u64::MAX / 2,
         body: body.clone(),
     }
@@ -50,10 +50,10 @@
 }
 
 /// Takes envelopes on until so many are owed.
-fn fill(ledger: &mut Ledger, count: u64, body: &Bytes) {
+fn fill(ledger: &mut Ledger, count: u64, body: &Bytes, destinations: u64) {
     for first in (0..count).step_by(GROUP as usize) {
         let group: Vec<Record> =
-            (first..count.min(first + GROUP)).map(|n| Record::Taken(taken(n, body))).collect();
+            (first..count.min(first + GROUP)).map(|n| Record::Taken(taken(n, body, destinations))).collect();
         ledger.append(&group, Duration::ZERO).expect("there is room");
     }
 }
@@ -73,7 +73,7 @@
         }
         oldest = last;
         while due >= 1.0 {
-            group.push(Record::Taken(taken(newest, body)));
+            group.push(Record::Taken(taken(newest, body, DESTINATIONS)));
             newest += 1;
             due -= 1.0;
         }
@@ -94,7 +94,7 @@
     let folder = Path::new(folder);
     let body = Bytes::from(vec![7; body_bytes as usize]);
     // What is owed may have two fifths of the folder.
-    let most = count * Ledger::size_of(&taken(0, &body)) * 27 / 10 + 64_000_000;
+    let most = count * Ledger::size_of(&taken(0, &body, DESTINATIONS)) * 27 / 10 + 64_000_000;
     std::fs::create_dir_all(folder).expect("the folder can be made");
     let before = memory("VmRSS");
     let at = Instant::now();
@@ -103,7 +103,8 @@
     let at = Instant::now();
     let ended = match command.as_str() {
         "fill" => {
-            fill(&mut ledger, count, &body);
+            let destinations = number(4).unwrap_or(DESTINATIONS).max(1);
+            fill(&mut ledger, count, &body, destinations);
             0
         }
         "drain" => {
--- a/docs/measure/start_with_owed.py
+++ b/docs/measure/start_with_owed.py
@@ -2,9 +2,9 @@
 """Starts a real forwarder on a ledger with many owed envelopes and measures its start, on loopback.
 
     cargo build --release -p reeddock-daemon -p reeddock-ledger --example owed --bin reeddock
-    docs/measure/start_with_owed.py target/release/reeddock target/release/examples/owed 75000 150000 300000 600000 1200000
+    docs/measure/start_with_owed.py target/release/reeddock target/release/examples/owed 320000 75000 150000 1200000
 
-For each number of envelopes (bodies of 440 bytes) prints one JSON line: seconds from the start of the process until
+The first number is of the destinations that the envelopes are spread over. For each further number of envelopes (bodies of 440 bytes) prints one JSON line: seconds from the start of the process until
 its health check answers 200, processor seconds until then, resident and peak memory, and the size of its folder.
 Nobody answers as discovery, so that nothing is delivered meanwhile. Ends the process that it started.
 """
@@ -65,9 +65,10 @@
     return config
 
 
-def measure(reeddock, owed, count, scratch):
+def measure(reeddock, owed, destinations, count, scratch):
     state = os.path.join(scratch, "state")
-    filled = subprocess.run([owed, "fill", state, str(count), str(BODY_BYTES)], check=True, capture_output=True)
+    fill = [owed, "fill", state, str(count), str(BODY_BYTES), destinations]
+    filled = subprocess.run(fill, check=True, capture_output=True)
     disk = json.loads(filled.stdout)["disk"]
     port = free_port()
     file = os.path.join(scratch, "config.json")
@@ -96,12 +97,12 @@
 
 
 def main():
-    if len(sys.argv) < 4 or not all(word.isdigit() for word in sys.argv[3:]):
-        sys.exit("start_with_owed: expected REEDDOCK OWED COUNT...")
-    for count in map(int, sys.argv[3:]):
+    if len(sys.argv) < 5 or not all(word.isdigit() for word in sys.argv[3:]):
+        sys.exit("start_with_owed: expected REEDDOCK OWED DESTINATIONS COUNT...")
+    for count in map(int, sys.argv[4:]):
         scratch = tempfile.mkdtemp(prefix="reeddock-owed-")
         try:
-            print(json.dumps(measure(sys.argv[1], sys.argv[2], count, scratch)), flush=True)
+            print(json.dumps(measure(sys.argv[1], sys.argv[2], sys.argv[3], count, scratch)), flush=True)
         finally:
             shutil.rmtree(scratch)
 
