--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,10 +3,12 @@
 
 mod draw;
 mod page;
+mod ramp;
 mod record;
 mod results;
 mod runs;
 mod search;
+mod sharing;
 mod shrink;
 
 use std::fmt;
@@ -16,10 +18,12 @@
 
 pub use draw::draw;
 pub use page::page;
+pub use ramp::{RampRow, Ramps};
 pub use record::{compare_recordings, Compared, Recorded, RecordingRun, StreamRun};
 pub use results::{Figures, Finding, Result, Row, Spread, SweepRow};
 pub use runs::{Comparison, Lab, Sweep};
 pub use search::Search;
+pub use sharing::{Sharing, SharingRow, SharingTable};
 pub use shrink::{shrink, Want};
 
 /// What is wrong, in one line.
