Stand-ins of the daemon's tests have a file of their own

Change: what descriptors.rs had of them moves to tests/stand_ins as it was; the test's checks stay as they are.

--- a/crates/daemon/tests/descriptors.rs
+++ b/crates/daemon/tests/descriptors.rs
@@ -1,5 +1,7 @@
 //! Clients that fill their share of the descriptors while discovery is down.
 
+mod stand_ins;
+
 use std::fs::File;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -9,11 +11,12 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::thread::{sleep, spawn};
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use reeddock_forwarder::limits::{Allowance, Limits, RESERVE};
 use serde_json::json;
+use stand_ins::{entry, serve, until, Request, PAUSE};
 
 const DESCRIPTORS: usize = 256;
 const IDLE_CLIENTS: usize = 400;
@@ -21,11 +24,9 @@
 const AT_ONCE: usize = 100;
 /// After discovery is back, its list is known by then.
 const TOLD_AFTER: Duration = Duration::from_secs(6);
-const PATIENCE: Duration = Duration::from_secs(20);
 /// Each has a target of its own, to which a connection stands idle.
 const DESTINATIONS: RangeInclusive<u64> = 3..=42;
 const LOG: &str = "log";
-const PAUSE: Duration = Duration::from_millis(10);
 
 /// What the threads of one test share.
 #[derive(Clone, Default)]
@@ -39,52 +40,6 @@
     notices: Arc<Mutex<String>>,
 }
 
-struct Request {
-    line: String,
-    id: String,
-    body: String,
-}
-
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
-    let mut request = Request { line: String::new(), id: String::new(), body: String::new() };
-    reader.read_line(&mut request.line).ok().filter(|read| *read > 0)?;
-    let mut length = 0;
-    loop {
-        let mut header = String::new();
-        reader.read_line(&mut header).ok().filter(|read| *read > 0)?;
-        let Some((name, value)) = header.trim_end().split_once(": ") else { break };
-        match name.to_lowercase().as_str() {
-            "content-length" => length = value.parse().ok()?,
-            "x-call-id" => request.id = value.to_owned(),
-            _ => {}
-        }
-    }
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    request.body = String::from_utf8(body).ok()?;
-    Some(request)
-}
-
-fn serve(shared: &Shared, answer: fn(&Shared, &Request, &mut TcpStream) -> bool) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let shared = shared.clone();
-    spawn(move || {
-        for stream in listener.incoming() {
-            let (Ok(mut stream), shared) = (stream, shared.clone()) else { return };
-            spawn(move || {
-                let mut reader = BufReader::new(stream.try_clone().unwrap());
-                while let Some(request) = read_request(&mut reader) {
-                    if !answer(&shared, &request, &mut stream) {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    address
-}
-
 /// Takes notices always, and answers watches while discovery does. A watch that is not answered stays open.
 fn platform(shared: &Shared, request: &Request, stream: &mut TcpStream) -> bool {
     if !request.line.starts_with("GET") {
@@ -126,11 +81,6 @@
     }
 }
 
-fn entry(name: &str, address: SocketAddr, destination: u64) -> serde_json::Value {
-    json!({"instanceId": name, "hostPort": address.to_string(), "zone": "a", "machineType": "partner",
-           "cell": destination, "lifecycle": "Ready", "weight": 50.0, "startedAtMs": 0})
-}
-
 impl Forwarder {
     /// With no more descriptors than it is told of.
     fn start(discovery: SocketAddr, known: SocketAddr) -> Forwarder {
@@ -198,17 +148,6 @@
     }
 }
 
-fn until<T>(what: &str, mut seen: impl FnMut() -> Option<T>) -> T {
-    let start = Instant::now();
-    loop {
-        if let Some(found) = seen() {
-            return found;
-        }
-        assert!(start.elapsed() < PATIENCE, "never seen: {what}");
-        sleep(PAUSE);
-    }
-}
-
 /// Clients of which each third says nothing, sends half a request, and asks once and stays.
 struct Crowd {
     at: SocketAddr,
