An answer reckons no rates that only a refusal needs

Cause: a profile of turns with 100 held over 100 destinations: a fifth of the time went into counting the pushes of the last seconds after each answer, and rates were reckoned for calls that never read them. Change: both are reckoned where a refusal is learned from, a further dispatch is judged, or a trial goes.

--- a/src/control.rs
+++ b/src/control.rs
@@ -13,8 +13,7 @@
 use std::time::Duration;
 
 use itertools::Itertools;
-use rand::seq::IndexedRandom;
-use rand::{RngExt, SeedableRng};
+use rand::{seq::IndexedRandom, RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
 use crate::backlog::{Class, Run};
@@ -375,13 +374,15 @@
         let Some(target) = self.targets.get(&id) else { return };
         let recovery_delay = self.recovery_delay(target, now);
         let of_route = self.members(route);
+        let refused = matches!(outcome, Outcome::Full(_));
         // A route takes at least half of what it is usually sent, in so many calls or in fewer, fuller ones.
-        let usual = self.usual_rate(target, now) * of_route.len() as f64 / self.batch(target) as f64;
-        let part = self.part(target, now);
+        let rates = refused.then(|| (self.usual_rate(target, now), self.part(target, now)));
+        let (usual, part) = rates.unwrap_or_default();
+        let usual = usual * of_route.len() as f64 / self.batch(target) as f64;
         let most = (self.card.forwarders / LEAST_CAPACITY).min(2.0 / usual.max(0.01));
         let members = || of_route.iter().filter_map(|t| self.targets.get(t));
         let troubled = members().any(|t| t.usage().trouble.is_some());
-        let pushes = members().flat_map(|t| &t.usage().pushes);
+        let pushes = members().filter(|_| refused).flat_map(|t| &t.usage().pushes);
         let lately = pushes.filter(|p| now.saturating_sub(p.0) < self.card.tip_after).count();
         self.circuit_mut(route);
         let card = &self.card;
@@ -499,12 +500,12 @@
         }
         // A further dispatch goes where answers have earned it, or where nothing was sent for a while. What
         // was refused may also go by the spacing alone; where forwarders are few, after a usual gap.
-        let usual = self.usual_rate(target, now).max(0.01);
-        let promised = self.card.categories[envelope.category].promised;
-        let idle = now.saturating_sub(target.usage().last_sent);
         if envelope.dispatches == 0 || self.earned(target) >= 1.0 {
             return true;
         }
+        let usual = self.usual_rate(target, now).max(0.01);
+        let promised = self.card.categories[envelope.category].promised;
+        let idle = now.saturating_sub(target.usage().last_sent);
         if envelope.may_have_run.is_some() {
             return idle >= self.card.recovery_delay;
         }
@@ -607,16 +608,13 @@
         if self.calls.len() >= self.card.slots {
             return;
         }
-        let waits = |d: &DestinationId| (*d, self.waited(*d, now));
-        let waited: BTreeMap<DestinationId, f64> = self.backlog.awake().iter().map(waits).collect();
+        let waited: BTreeMap<_, _> =
+            self.backlog.awake().iter().map(|d| (*d, self.waited(*d, now))).collect();
         let mut turns: BinaryHeap<_> = waited.iter().map(|(d, w)| Reverse(self.claim(*d, *w))).collect();
         let mut holds = self.backlog.next_wake();
         while self.calls.len() < self.card.slots {
-            let Some(Reverse((.., destination))) = turns.pop() else {
-                // Nothing more can go until one of the waits ends.
-                sooner(wake, holds);
-                return;
-            };
+            // Where none is left, nothing more can go until one of the waits ends.
+            let Some(Reverse((.., destination))) = turns.pop() else { return sooner(wake, holds) };
             if self.take_turn(destination, now, host, &mut holds) && self.backlog.line(destination).is_some()
             {
                 turns.push(Reverse(self.claim(destination, waited[&destination])));
@@ -624,8 +622,8 @@
         }
     }
 
-    /// Orders destinations for the next call: the least claim goes first. Slots are few, and a slow call holds one
-    /// for as long as several others would.
+    /// Orders destinations for the next call: the least claim goes first. Slots are few, and a slow call holds
+    /// one for as long as several others would.
     fn claim(&self, destination: DestinationId, waited: f64) -> (u64, u64, DestinationId) {
         let of_routes = self.circuits_of(destination).map(|c| self.slowness(Some(c)));
         let slow = of_routes.reduce(f64::min).unwrap_or(1.0);
@@ -696,8 +694,8 @@
         }
     }
 
-    /// The order of categories. It comes by chance, with the square of their credit: strictly by it, a cheap one
-    /// starves where a route is used up.
+    /// The order of categories. It comes by chance, with the square of their credit: strictly by it, a cheap
+    /// one starves where a route is used up.
     fn draw_order(&mut self) -> Vec<u64> {
         let draw = |c: f64| (-self.order_chance.random::<f64>().ln() / c.max(0.001).powi(2) * 1e6) as u64;
         self.card.categories.iter().map(|c| c.credit).map(draw).collect()
@@ -716,8 +714,8 @@
         of_run.map(move |(promise, key)| ((rank, promise), key))
     }
 
-    /// The first envelope of a run that one of these targets may get. All of a class fare alike, but for those
-    /// that have receipts.
+    /// The first envelope of a run that one of these targets may get. All of a class fare alike, but for
+    /// those that have receipts.
     fn first_able(&self, run: &Run, order: &[u64], to: &[TargetId], now: Duration) -> Option<Ranked> {
         let most = if run.class.may_have_run { usize::MAX } else { 1 };
         self.free(run, order, now).take(most).find(|(_, key)| !self.able(*key, to, now).is_empty())
@@ -813,7 +811,6 @@
         self.counter += 1;
         let call = CallNo(self.counter);
         self.calls.insert(call, going.len() as u32);
-        let recovery_delay = self.recovery_delay(&self.targets[&target], now);
         let push = 1.0 + PUSH_PER_EXTRA * (going.len() - 1) as f64;
         // One that timed out alone and went again would be a second copy of what its call still holds.
         let waits = going.iter().filter_map(|k| Some(self.time_out(self.envelopes.get(*k)?, route, trial)));
@@ -832,6 +829,7 @@
                 self.change(&[target], |t| t.earned = Some(earned));
             }
             if trial {
+                let recovery_delay = self.recovery_delay(&self.targets[&target], now);
                 let circuit = self.circuit_mut(route);
                 circuit.re_arm(now, recovery_delay);
                 circuit.trial = Some((id.clone(), no));
@@ -925,8 +923,8 @@
     }
 
     /// Symptom: the holding room is full, and whatever comes next is turned away unseen. What would earn
-    /// least goes instead. Of what is late, the one whose promise ended first; of what is not, the one that is
-    /// promised last, of the destination with most held.
+    /// least goes instead. Of what is late, the one whose promise ended first; of what is not, the one that
+    /// is promised last, of the destination with most held.
     fn make_room(&mut self, now: Duration, host: &mut dyn Host) {
         while self.envelopes.len() >= self.card.room {
             self.renew_indices();
