The tests of restarts inside a window find three mutants that they let pass

With a recall that counts the window from the last dispatch, and one that counts it from the start, both tests of the window passed: all envelopes went to one target, where the first repeat kept the others waiting, and nothing was killed any more once the window was over. Change: each envelope has a target of its own, and the kills go on up to three windows unless it has ended.

--- a/crates/daemon/tests/restarts.rs
+++ b/crates/daemon/tests/restarts.rs
@@ -17,7 +17,8 @@
 use serde_json::json;
 use stand_ins::{entry, serve, until, Request, PAUSE};
 
-const DESTINATION: u64 = 3;
+/// Each has a target of its own at the one stand-in, so that a call to one does not keep those to others waiting.
+const DESTINATIONS: u64 = 3;
 /// From the start of a process until it may be used. It takes some hundredths; a busy machine is not to decide.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// Repeats of a category with a short window begin in it.
@@ -128,12 +129,16 @@
             class["dedupScope"] = json!(scope);
             class
         };
-        let mut known = entry("t", target, DESTINATION);
-        known["weight"] = json!(2000.0);
+        let known_target = |destination: u64| {
+            let mut known = entry(&format!("t{destination}"), target, destination);
+            known["weight"] = json!(2000.0);
+            known
+        };
+        let known: Vec<_> = (0..DESTINATIONS).map(known_target).collect();
         let configuration = json!({
             "listen": "127.0.0.1:0", "discovery": platform.to_string(), "seed": "1f",
             "limits": {"memory_mb": 48, "sockets": 256, "disk_mb": 3},
-            "known": {"generation": 1, "reset": true, "instances": [known]},
+            "known": {"generation": 1, "reset": true, "instances": known},
             "settings": {
                 "balancers": FORWARDERS, "az": "a", "kinds": ["partner"], "weights": "rough",
                 "classes": [
@@ -211,15 +216,15 @@
         let _ = self.child.wait();
     }
 
-    /// Hands envelopes in on one connection; each is taken on.
+    /// Hands envelopes in on one connection, for each destination in turn; each is taken on.
     fn hand_in(&self, envelopes: &[(String, &str)]) {
         let mut stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(READY_WITHIN)).unwrap();
         let mut answers = BufReader::new(stream.try_clone().unwrap());
-        for (id, category) in envelopes {
+        for ((id, category), destination) in envelopes.iter().zip((0..DESTINATIONS).cycle()) {
             let request = format!(
                 "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Id: {id}\r\nX-Call-Class: {category}\r\n\
-                 X-Budget: 15\r\nX-Route-To: dest={DESTINATION}\r\nContent-Length: 0\r\n\r\n"
+                 X-Budget: 15\r\nX-Route-To: dest={destination}\r\nContent-Length: 0\r\n\r\n"
             );
             stream.write_all(request.as_bytes()).unwrap();
             let mut answer = String::new();
@@ -315,7 +320,8 @@
         let id = &format!("{category}-{most_kills}");
         forwarder.hand_in(&[(id.clone(), category)]);
         let first = until("the first call", || shared.calls_of(id).first().cloned()).at;
-        let may_repeat = || first.elapsed() < SHORT_WINDOW && !shared.noticed().contains(id);
+        // Were it repeated after its window, it would be so until then.
+        let may_repeat = || first.elapsed() < 3 * SHORT_WINDOW && !shared.noticed().contains(id);
         let mut kills = 0;
         while kills < most_kills && may_repeat() {
             forwarder.kill();
