What may not begin any more does not go on a kept connection either

Cause: the last moment to begin was looked at only by the timer in see_through (calls.rs), which is polled behind the call itself, and never again once a call had begun: a repeat whose window ran out while the ledger was written went at once where a connection was kept; one whose kept connection turned out to be over took another after its moment. sending.rs counted that moment from after the ledger's write, not from the turn. Change: Boarding knows the moments and leaves behind what is late whenever a call begins; what a call left behind is ended as not begun with it. A moment other than the end of the wait counts from the turn. Not forced by a test: a connection that turns out to be over across the moment, and a ledger whose write stalls.

--- a/crates/forwarder/src/calls.rs
+++ b/crates/forwarder/src/calls.rs
@@ -45,12 +45,22 @@
     /// The first byte is about to be written.
     begun: bool,
     stayed: BTreeSet<usize>,
+    /// By place, when the first byte leaves at the latest; without end where nothing stands here.
+    begin_by: Vec<Instant>,
 }
 
 impl Boarding {
-    /// The places that go, of so many; from here on each may have run.
+    fn only_until(&self, begin_by: Vec<Instant>) {
+        locked(&self.0).begin_by = begin_by;
+    }
+
+    /// The places that go, of so many; from here on each may have run. What may not begin any more stays.
     fn begin(&self, places: usize) -> Vec<usize> {
         let mut boarded = locked(&self.0);
+        let now = Instant::now();
+        let late = |place: &usize| boarded.begin_by.get(*place).is_some_and(|by| *by <= now);
+        let late: Vec<usize> = (0..places).filter(late).collect();
+        boarded.stayed.extend(late);
         boarded.begun = true;
         (0..places).filter(|place| !boarded.stayed.contains(place)).collect()
     }
@@ -69,8 +79,9 @@
         !boarded.stayed.contains(&place)
     }
 
-    fn begun(&self) -> bool {
-        locked(&self.0).begun
+    fn has_gone(&self, place: usize) -> bool {
+        let boarded = locked(&self.0);
+        boarded.begun && !boarded.stayed.contains(&place)
     }
 }
 
@@ -234,6 +245,7 @@
     owner: mpsc::Sender<Event>,
 ) {
     let (target, boarding, until) = (call.target, call.boarding.clone(), call.until.clone());
+    boarding.only_until(dispatched.iter().map(|d| d.begin_by).collect());
     let mut waiting = Vec::new();
     let mut patience = FuturesUnordered::new();
     for (place, (d, until)) in dispatched.into_iter().zip(until.clone()).enumerate() {
@@ -241,7 +253,7 @@
         let (called_off, boarding) = (d.called_off, boarding.clone());
         let never_began = async move {
             sleep_until(d.begin_by).await;
-            if boarding.begun() {
+            if boarding.has_gone(place) {
                 std::future::pending().await
             }
         };
@@ -273,7 +285,12 @@
                     Ending::Completed if late(place) => (place, Ending::TimedOut),
                     ending => (place, ending),
                 };
-                endings.into_iter().map(in_time).collect()
+                let mut endings: Vec<_> = endings.into_iter().map(in_time).collect();
+                // What it left behind, as that might not begin any more; its own moment may not have been told yet.
+                let stayed = |place: &usize| !endings.iter().any(|(told, _)| told == place);
+                let stayed: Vec<usize> = (0..waiting.len()).filter(stayed).collect();
+                endings.extend(stayed.into_iter().map(|place| (place, Ending::NotBegun)));
+                endings
             }
             Some(given_up) = patience.next() => {
                 // What ends in the same instant is told together, so that nothing of it goes out anew while the
--- a/crates/forwarder/src/owner/sending.rs
+++ b/crates/forwarder/src/owner/sending.rs
@@ -34,7 +34,11 @@
                     let (stop, called_off) = oneshot::channel();
                     self.state.out.insert((id.clone(), no), stop);
                     until.push(now + spans.time_out);
-                    let begin_by = now + spans.begin_within;
+                    // A moment of its own counts from the turn: the ledger has been written since.
+                    let decided = self.clock.instant(self.state.now);
+                    let own_limit = spans.begin_within < spans.time_out;
+                    let begin_by =
+                        if own_limit { decided + spans.begin_within } else { now + spans.time_out };
                     dispatched.push(Dispatched { envelope: id, no, begin_by, called_off });
                 }
                 let call = Call { target, to, letters, until, boarding: Default::default() };
--- a/crates/forwarder/tests/loopback/crossings.rs
+++ b/crates/forwarder/tests/loopback/crossings.rs
@@ -1,5 +1,6 @@
 //! What is still owed at the instant in which something ends. Each story forces its crossing.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::mem::MaybeUninit;
 use std::sync::atomic::Ordering;
@@ -90,6 +91,29 @@
     });
 }
 
+#[test]
+fn what_may_not_begin_any_more_does_not_go_on_a_kept_connection_either() {
+    story(async {
+        let target = StandIn::start(|_| Reply::Say(OK.into())).await;
+        let (events, mut heard) = mpsc::channel(4);
+        let courier = patient();
+        let first = call_to(&target, "first");
+        let (out, _stops) = dispatched(&first, ms(20_000));
+        see_through(courier.clone(), first, out, events.clone()).await;
+        assert_eq!(end(&mut heard).await, ("first".into(), Ending::Completed));
+        let both = call(target.address, &[("late", ms(20_000)), ("in-time", ms(20_000))]);
+        let (mut out, _stops) = dispatched(&both, ms(20_000));
+        // Its receipt has run out, say, while the ledger was written.
+        out[0].begin_by = Instant::now();
+        see_through(courier, both, out, events).await;
+        let mut ends = BTreeMap::from([end(&mut heard).await, end(&mut heard).await]);
+        assert!(ends.remove("late").unwrap().outcome().never_ran());
+        assert_eq!(ends.remove("in-time"), Some(Ending::Completed));
+        let sent: Vec<_> = target.got().into_iter().map(|m| (m.id().to_owned(), m.connection)).collect();
+        assert_eq!(sent, [("first".to_owned(), 0), ("in-time".to_owned(), 0)]);
+    });
+}
+
 #[test]
 fn a_target_that_leaves_or_asks_to_wait_while_a_connection_comes_up_gets_nothing_on_it() {
     story(async {
