Which envelope is the first of its key is asked in one place; a re-export without users goes

Cause: read again: the index and the question whether a key is free each looked at the first of a key's line in their own words, and owner kept a public name for the event type that nobody uses any more. Change: `first_of_key` serves both; the import is private; one doc comment says what happens to an id in use. Nothing decides otherwise.

--- a/crates/forwarder/src/owner/mod.rs
+++ b/crates/forwarder/src/owner/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::calls::Courier;
 use crate::clock::Clock;
-pub use crate::events::Event;
+use crate::events::Event;
 use crate::list_status::ListStatus;
 use crate::seldom::Seldom;
 use crate::targets::TargetTable;
--- a/src/holding.rs
+++ b/src/holding.rs
@@ -12,7 +12,7 @@
 use crate::state::{Envelope, Forwarder};
 
 impl Forwarder {
-    /// Takes an envelope on and holds it. One whose id is taken is not told apart from that.
+    /// Takes an envelope on and holds it. Another one with an id that is in use already is ignored.
     pub(crate) fn take(&mut self, mut envelope: Envelope, now: Duration) {
         if self.envelopes.contains(&envelope.id) {
             return;
@@ -52,9 +52,6 @@
 
     /// What an envelope is to be filed under.
     pub(crate) fn filing(&self, envelope: &Envelope) -> Filing {
-        let blocked = envelope.key.and_then(|k| self.keys.get(&k)).is_some_and(|line| {
-            line.line.first_key_value().is_some_and(|(arrival, _)| *arrival != envelope.arrival)
-        });
         let until = self.receipt_until(envelope);
         Filing {
             class: Class {
@@ -62,7 +59,7 @@
                 errors: envelope.errors,
                 tried: envelope.dispatches > 0,
                 may_have_run: envelope.may_have_run.is_some(),
-                blocked,
+                blocked: !self.first_of_key(envelope),
             },
             promised_by: envelope.promised_by,
             arrival: envelope.arrival,
--- a/src/keys.rs
+++ b/src/keys.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::host::{DispatchNo, EnvelopeId, KeyId};
-use crate::state::{Envelope, Forwarder};
+use crate::state::{Envelope, Forwarder, KeyLine};
 
 impl Forwarder {
     /// Takes an envelope out of its key's line once it is over and none of its dispatches is out.
@@ -49,12 +49,17 @@
         }
     }
 
+    /// Whether no other envelope with its key comes first.
+    pub(crate) fn first_of_key(&self, envelope: &Envelope) -> bool {
+        let line = envelope.key.and_then(|k| self.keys.get(&k));
+        let first = line.and_then(|l| l.line.first_key_value());
+        first.is_none_or(|(arrival, _)| *arrival == envelope.arrival)
+    }
+
     /// Whether an envelope is the first of its key, and that does not rest.
     pub(crate) fn key_free(&self, envelope: &Envelope, now: Duration) -> bool {
+        let rested = |l: &KeyLine| now >= l.rest_until || l.rest_owner == envelope.arrival;
         let line = envelope.key.and_then(|k| self.keys.get(&k));
-        line.is_none_or(|l| {
-            let first = l.line.first_key_value().is_none_or(|f| *f.0 == envelope.arrival);
-            first && (now >= l.rest_until || l.rest_owner == envelope.arrival)
-        })
+        self.first_of_key(envelope) && line.is_none_or(rested)
     }
 }
