--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -176,6 +176,7 @@
         body = b""
         if call["bundle"]:
             body = "".join(f"{name} accepted\r\n" for name in call["ids"]).encode()
+        call["delivered_at"] = time.monotonic()
         answer(call["connection"], "200 OK", body=body)
         self.record.line(self.name, f"answered 200 to {' '.join(call['ids'])}")
 
