--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import queue
 import re
 import shutil
 import signal
@@ -450,3 +451,54 @@
     for forwarder in FORWARDERS:
         forwarder.end()
         shutil.rmtree(forwarder.folder, ignore_errors=True)
+
+
+class DelayProxy:
+    """Stands between the forwarder and a target, and passes all bytes on after a fixed time each way, in order."""
+
+    def __init__(self, record, name, port, delay_s):
+        self.record = record
+        self.name = name
+        self.target_port = port
+        self.delay_s = delay_s
+        self.socket = listen()
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            inner, _ = self.socket.accept()
+            outer = socket.create_connection(("127.0.0.1", self.target_port))
+            for connection in (inner, outer):
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._pass_on(inner, outer, True)
+            self._pass_on(outer, inner, False)
+
+    def _pass_on(self, source, sink, from_forwarder):
+        pieces = queue.SimpleQueue()
+
+        def read():
+            data = b"-"
+            while data:
+                try:
+                    data = source.recv(65536)
+                except OSError:
+                    data = b""
+                pieces.put((time.monotonic() + self.delay_s, data))
+                for name in re.findall(rb"(?i)x-call-id: (\S+)", data) if from_forwarder else ():
+                    self.record.line(self.name, f"the forwarder has written {name.decode()}")
+
+        def write():
+            while True:
+                due, data = pieces.get()
+                time.sleep(max(0.0, due - time.monotonic()))
+                try:
+                    if not data:
+                        sink.shutdown(socket.SHUT_WR)
+                        return
+                    sink.sendall(data)
+                except OSError:
+                    return
+
+        threading.Thread(target=read, daemon=True).start()
+        threading.Thread(target=write, daemon=True).start()
