--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,9 @@
-"""A second copy of an answer is still on its way when the forwarder sends the next message on that connection, and the
-forwarder takes it as that message's answer. See claim.txt."""
+"""Some answers are endless and keep on coming in small pieces, and the forwarder outgrows its memory limit.
+See claim.txt."""
 
 import os
+import re
+import signal
 import socket
 import sys
 import threading
@@ -10,98 +12,130 @@
 sys.dont_write_bytecode = True
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib"))
-from standins import DelayProxy, Forwarder, Platform, Target, answer, run_case, settings, submit, trouble
+from standins import Forwarder, Platform, Target, run_case, settings, submission, read_status, trouble
 
-PARTNERS = 8
-ORDERS = 5          # messages that follow the first one of each partner
-ONE_WAY_S = 0.060   # the brief: 45 to 75 ms one way between the buildings
-COPY_AFTER_S = 0.015
-BUDGET_S = 10.0
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}
+MESSAGES_PER_S = 80
+DURATION_S = 8.0
+PIECE = b"z" * 64
+PIECES_PER_S = 1000
 
 
-def nothing_waits(connection):
-    """Whether no byte waits to be read on the connection."""
-    try:
-        connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        return False
-    except BlockingIOError:
-        return True
-    except OSError:
-        return False
+def private_memory(process):
+    """The memory that the process has allocated, in bytes, without the pages of its program file."""
+    with open(f"/proc/{process.pid}/status") as file:
+        return int(re.search(r"RssAnon:\s+(\d+) kB", file.read()).group(1)) * 1024
 
 
 def case(record):
     platform = Platform(record)
-    ran = set()
-    answered = {}
+    endless = set()
+    brought = [0]
     lock = threading.Lock()
 
-    def partner(target, call):
-        name = call["ids"][0]
-        connection = call["connection"]
-        if name.startswith("first-"):
-            with lock:
-                ran.add(name)
-            answered[name] = time.monotonic()
+    def delivers(target, call):
+        """Runs the call. Every second answer is endless; its first line says 200."""
+        if not trouble() or len(target.calls) % 2 == 0:
             target.ok(call)
-            if trouble():
-                time.sleep(COPY_AFTER_S)
-                if nothing_waits(connection):
-                    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-                    record.line(target.name, f"second copy of the answer to {name}; nothing else waits on the connection")
-            return
-        # Over its limit: each order is turned away unseen at first, and run when it comes again.
-        if len(target.calls_of(name)) == 1:
-            answer(connection, "503 Service Unavailable")
-            record.line(target.name, f"answered 503 to {name}, which has not run")
-            return
+            return True
+        connection = call["connection"]
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n")
+        record.line(target.name, f"answered 200 to {' '.join(call['ids'])}, and the answer goes on")
         with lock:
-            ran.add(name)
-        target.ok(call)
+            endless.add(connection)
+        while True:
+            time.sleep(0.1)
+            with lock:
+                if connection not in endless:
+                    return False
+
+    def go_on():
+        while True:
+            start = time.monotonic()
+            with lock:
+                open_answers = list(endless)
+            for connection in open_answers:
+                try:
+                    brought[0] += connection.send(PIECE, socket.MSG_DONTWAIT)
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    with lock:
+                        endless.discard(connection)
+            time.sleep(max(0.0, start + 1.0 / PIECES_PER_S - time.monotonic()))
 
-    targets = [Target(record, f"t-{cell}", cell, partner) for cell in range(1, PARTNERS + 1)]
-    proxies = [DelayProxy(record, f"way to {target.name}", target.port, ONE_WAY_S) for target in targets]
-    platform.publish([{**target.entry(), "hostPort": proxy.address} for target, proxy in zip(targets, proxies)])
+    threading.Thread(target=go_on, daemon=True).start()
+    targets = [Target(record, f"t-{number}", number, delivers) for number in range(1, 6)]
+    platform.publish([target.entry() for target in targets])
     forwarder = Forwarder(record, platform, settings([
         ("episode-update", "idempotent", {"onTimeUs": 4000000, "giveUpUs": 24000000}),
         ("ad-order", "at_most_once", {"onTimeUs": 2000000, "giveUpUs": 28000000, "importance": 2.0}),
-    ]))
+    ]), limits=LIMITS)
     forwarder.start(platform.known())
 
-    taken = {}
-    for cell in range(1, PARTNERS + 1):
-        first = f"first-{cell}"
-        if submit(record, forwarder, first, "ad-order", BUDGET_S, cell) != 202:
-            raise RuntimeError(f"{first} was not taken on")
-        end = time.monotonic() + 2.0
-        while first not in answered:
-            if time.monotonic() > end:
-                raise RuntimeError(f"{first} was not sent")
-            time.sleep(0.0005)
-        # More orders for the same partner come about when that answer reaches the forwarder.
-        time.sleep(max(0.0, answered[first] + ONE_WAY_S - 0.004 - time.monotonic()))
-        for number in range(ORDERS):
-            name = f"order-{cell}-{number}"
-            if submit(record, forwarder, name, "ad-order", BUDGET_S, cell) == 202:
-                taken[name] = time.monotonic() + BUDGET_S
-    if len(taken) < PARTNERS * ORDERS:
-        raise RuntimeError("not every order was taken on")
-
-    end = max(taken.values()) + 0.5
-    while time.monotonic() < end:
-        with lock:
-            open_orders = [name for name in taken if name not in ran and not platform.notices_of(name)]
-        if not open_orders:
+    # The platform kills a forwarder that is over its memory limit.
+    limit = LIMITS["memory_mb"] * 1024 * 1024
+    seen = {"peak": 0, "killed": None}
+    stop = threading.Event()
+
+    def watch_memory():
+        shown = 0.0
+        while not stop.is_set() and forwarder.process.poll() is None:
+            try:
+                used = private_memory(forwarder.process)
+            except (OSError, AttributeError):
+                return
+            seen["peak"] = max(seen["peak"], used)
+            if time.monotonic() >= shown:
+                shown = time.monotonic() + 0.25
+                record.line("platform", f"n0 uses {used / 1e6:.1f} MB, {len(endless)} answers go on and "
+                                        f"have brought {brought[0] / 1e6:.1f} MB in all")
+            if used > limit:
+                seen["killed"] = used
+                record.line("platform", f"n0 uses {used / 1e6:.1f} MB, over its limit of {LIMITS['memory_mb']} MB; the "
+                            f"endless answers have brought {brought[0] / 1e6:.1f} MB in all")
+                forwarder.signal(signal.SIGKILL)
+                return
+            time.sleep(0.005)
+
+    watcher = threading.Thread(target=watch_memory, daemon=True)
+    watcher.start()
+
+    # One client hands in messages on a connection that it keeps.
+    start = time.monotonic()
+    client = None
+    statuses = {}
+    for number in range(int(MESSAGES_PER_S * DURATION_S)):
+        time.sleep(max(0.0, start + number / MESSAGES_PER_S - time.monotonic()))
+        if seen["killed"]:
             break
-        time.sleep(0.02)
-
-    breaks = []
-    for name in taken:
-        if name not in ran and not platform.notices_of(name):
-            calls = sum(len(target.calls_of(name)) for target in targets)
-            breaks.append(f"{name} was taken on, sent {calls} time(s) and turned away unseen; it has neither been delivered "
-                          f"nor ended by a notice 300 ms after its time was up")
-    return breaks
+        name = f"order-{number}"
+        status = "refused"
+        try:
+            if client is None:
+                client = socket.create_connection(("127.0.0.1", forwarder.port), 1)
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client.sendall(submission(name, "ad-order", 8.0, number % 5 + 1, b"o" * 200))
+            status = read_status(client, 0.4)
+        except OSError:
+            pass
+        if not isinstance(status, int):
+            client = None
+        statuses[status] = statuses.get(status, 0) + 1
+        record.line("client", f"{name} ad-order dest={number % 5 + 1}: {status}")
+    if not seen["killed"]:
+        time.sleep(2.5)
+    stop.set()
+    watcher.join()
+    if not seen["killed"] and forwarder.process.poll() is not None:
+        return [f"the forwarder ended with {forwarder.process.returncode}"]
+    record.line("case", f"answers to the client: {statuses}; peak of memory {seen['peak'] / 1e6:.1f} MB")
+    if statuses.get(202, 0) < 10:
+        raise RuntimeError("hardly any message was taken on")
+    if seen["killed"]:
+        return [f"the forwarder was killed for memory, with {seen['killed'] / 1e6:.1f} MB at a limit of "
+                f"{LIMITS['memory_mb']} MB, after {sum(statuses.values())} messages: it has crashed"]
+    return []
 
 
 run_case(case, HERE)
