--- a/review/2/case.py
+++ b/review/2/case.py
@@ -73,11 +73,12 @@
     cells = [*REFUSING, *RUNNING]
     targets = [Target(record, f"t-{cell}", cell, partner) for cell in cells]
     proxies = [DelayProxy(record, f"way to {target.name}", target.port, ONE_WAY_S) for target in targets]
-    platform.publish([{**target.entry(), "hostPort": proxy.address} for target, proxy in zip(targets, proxies)])
+    platform.publish([{**target.entry(zone="building-b"), "hostPort": proxy.address}
+                      for target, proxy in zip(targets, proxies)])
     forwarder = Forwarder(record, platform, settings([
         ("episode-update", "idempotent", {"onTimeUs": 4000000, "giveUpUs": 24000000}),
         ("ad-order", "at_most_once", {"onTimeUs": 2000000, "giveUpUs": 28000000, "importance": 2.0}),
-    ]))
+    ], areas=["building-a", "building-b", "building-c"], az="building-a", familyInfo__zoneFee=[0.0, 0.0, 0.0]))
     forwarder.start(platform.known())
 
     taken = {}
