Send nothing by an endpoint list that discovery has not confirmed

What callers saw: after a kill and a start with the list that it last had, a forwarder sent four owed orders to an endpoint of another destination, which had the address of one that went.

Cause: the event loop applied the cached list and ran due work before the first answer of discovery was read. Nothing told the policy that an entry may be outdated.

Evidence: debug log of the failing case. The first attempt was numbered 0.07 ms after "serving", discovery's answer was applied 1.8 ms after it.

Change: the policy withholds requests until discovery has confirmed the list, for 1 s at most: after a start, after discovery has moved, and for endpoints that a list in transfer has not named yet. The first complete line of a watch confirms. It works because the agent answers at once or is silent; when it is silent for 1 s, deliveries go on by the last list.

ManualDiscovery moved from streamed_lists.rs to support, unchanged.

--- a/crates/forwarder/src/discovery.rs
+++ b/crates/forwarder/src/discovery.rs
@@ -44,6 +44,9 @@
             loss = request.run(&mut progress, &event_loop) => loss,
             () = address_changed(&mut address) => {
                 schedule.discovery_address_changed(start.elapsed());
+                if event_loop.send(Event::DiscoveryMoved).await.is_err() {
+                    return;
+                }
                 continue;
             }
         };
@@ -54,7 +57,12 @@
         }
         tokio::select! {
             () = sleep_until(next_request) => {}
-            () = address_changed(&mut address) => schedule.discovery_address_changed(start.elapsed()),
+            () = address_changed(&mut address) => {
+                schedule.discovery_address_changed(start.elapsed());
+                if event_loop.send(Event::DiscoveryMoved).await.is_err() {
+                    return;
+                }
+            }
         }
     }
 }
--- a/crates/forwarder/src/event_loop/endpoint_list.rs
+++ b/crates/forwarder/src/event_loop/endpoint_list.rs
@@ -38,7 +38,7 @@
                 }
                 ListEvent::EndpointUpdated(entry) => self.update_endpoint(entry),
                 ListEvent::PartEnded => self.finish_endpoint_list(),
-                ListEvent::Heartbeat => {}
+                ListEvent::Heartbeat => self.policy.confirm_endpoint_list(),
             }
         }
     }
@@ -61,9 +61,19 @@
         // An unfinished earlier part belongs to a watch that was lost.
         self.abort_endpoint_list();
         self.policy.begin_endpoint_list(progress.is_full_list);
+        self.policy.await_list_confirmation(self.clock.now());
         *self.state.list_progress_mut() = Some(progress);
     }
 
+    /// Lets the policy withhold requests after a start or a move of discovery, until discovery confirms the
+    /// list.
+    pub(super) fn await_list_confirmation(&mut self) {
+        if self.list_status.has_list() {
+            tracing::info!("endpoint list not confirmed, requests wait for discovery");
+        }
+        self.policy.await_list_confirmation(self.clock.now());
+    }
+
     /// Aborts a part of the list that was not received completely. Endpoints that the part did not name stay
     /// unchanged.
     fn abort_endpoint_list(&mut self) {
--- a/crates/forwarder/src/event_loop/run.rs
+++ b/crates/forwarder/src/event_loop/run.rs
@@ -28,6 +28,8 @@
     /// `events` receives the events of all tasks except the watch. The watch has a separate short queue,
     /// `list_events`, so that a long list and other events do not block each other.
     pub async fn run(mut self, mut events: mpsc::Receiver<Event>, mut list_events: mpsc::Receiver<Event>) {
+        // Counts from here, because applying a long cached list and restoring messages take time.
+        self.await_list_confirmation();
         self.run_due_work(self.clock.now());
         loop {
             let first = self.wait_for_work(&mut events, &mut list_events).await;
@@ -99,6 +101,7 @@
             Event::ListEvents(events) => self.apply_list_events(events),
             Event::ListMalformed(list) => self.reject_malformed_list(&list),
             Event::WatchLost => self.discovery_failed(),
+            Event::DiscoveryMoved => self.await_list_confirmation(),
             Event::NoticesAcknowledged(ids) => self.state.acknowledge_notices(&ids),
             Event::ShutdownRequested(deadline) => self.begin_shutdown(deadline),
             Event::ClientsDisconnected => self.shutdown.clients_disconnected = true,
--- a/crates/forwarder/src/events.rs
+++ b/crates/forwarder/src/events.rs
@@ -50,6 +50,8 @@
     ListMalformed(MalformedList),
     /// A watch has ended, possibly in the middle of a list, or could not be opened.
     WatchLost,
+    /// The address of discovery has changed. The watch is opened again at the new address.
+    DiscoveryMoved,
     /// The platform has acknowledged the notices about these messages, or the notices were dropped as
     /// malformed.
     NoticesAcknowledged(Vec<MessageId>),
--- a/crates/forwarder/src/list_reader.rs
+++ b/crates/forwarder/src/list_reader.rs
@@ -45,6 +45,8 @@
     part_generation: Option<u64>,
     /// Decoded events that were not sent to the event loop yet.
     chunk: Vec<ListEvent>,
+    /// Whether this watch has passed any event to the chunk. Later heartbeats tell the event loop nothing new.
+    any_event: bool,
     progress: &'w mut WatchProgress,
     event_loop: &'w mpsc::Sender<Event>,
 }
@@ -56,6 +58,7 @@
             decoder: ListDecoder::default(),
             part_generation: None,
             chunk: Vec::new(),
+            any_event: false,
             progress,
             event_loop,
         }
@@ -104,7 +107,8 @@
             if matches!(event, ListEvent::PartEnded | ListEvent::Heartbeat) {
                 self.progress.received = Received::Lines;
             }
-            if event != ListEvent::Heartbeat {
+            if event != ListEvent::Heartbeat || !self.any_event {
+                self.any_event = true;
                 self.chunk.push(event);
             }
             if self.chunk.len() >= MAX_LIST_EVENTS_PER_CHUNK {
--- a/crates/forwarder/tests/loopback/main.rs
+++ b/crates/forwarder/tests/loopback/main.rs
@@ -15,4 +15,5 @@
 mod streamed_lists;
 mod submissions;
 mod support;
+mod unconfirmed_list;
 mod watch;
--- a/crates/forwarder/tests/loopback/streamed_lists.rs
+++ b/crates/forwarder/tests/loopback/streamed_lists.rs
@@ -1,10 +1,6 @@
 //! Endpoint lists that are received in pieces: long, incomplete and malformed ones.
 
-use std::net::SocketAddr;
-
 use reeddock_forwarder::malformed_list::MAX_MEAN_BYTES_PER_SECOND;
-use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::support::*;
@@ -14,59 +10,6 @@
 /// The body of a health check before any endpoint list is received.
 const NO_LIST_YET: &str = "ok; no target list yet: discovery has told none\n";
 
-/// A discovery service whose watches send the bytes that a test writes.
-struct ManualDiscovery {
-    listener: TcpListener,
-    address: SocketAddr,
-}
-
-/// A watch on [`ManualDiscovery`].
-struct ManualWatch {
-    stream: TcpStream,
-    /// The generation after which the watch requested changes.
-    after: u64,
-}
-
-impl ManualDiscovery {
-    async fn start() -> ManualDiscovery {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        ManualDiscovery { listener, address }
-    }
-
-    /// Starts a discovery service and moves the test bed's platform address to it.
-    async fn start_for(test_bed: &TestBed) -> ManualDiscovery {
-        let discovery = ManualDiscovery::start().await;
-        test_bed.move_platform(discovery.address);
-        discovery
-    }
-
-    /// Returns the next watch. Acknowledges notices that arrive before it.
-    async fn next_watch(&self) -> ManualWatch {
-        loop {
-            let (mut stream, _) = self.listener.accept().await.unwrap();
-            let Some(request) = read_message(&mut stream).await else { continue };
-            let Some((_, after)) = request.start_line.split_once("stream=1&index=") else {
-                stream.write_all(NO_CONTENT_RESPONSE.as_bytes()).await.unwrap();
-                continue;
-            };
-            let after = after.split(' ').next().unwrap().parse().unwrap();
-            stream.write_all(CHUNKED_RESPONSE_HEAD.as_bytes()).await.unwrap();
-            return ManualWatch { stream, after };
-        }
-    }
-}
-
-impl ManualWatch {
-    async fn write(&mut self, text: &str) {
-        self.stream.write_all(chunk(text).as_bytes()).await.unwrap();
-    }
-
-    async fn write_line(&mut self, line: &str) {
-        self.write(&format!("{line}\n")).await;
-    }
-}
-
 /// Returns entries of endpoints that receive no messages.
 fn other_entries(count: usize) -> String {
     let address = "127.0.0.1:9".parse().unwrap();
--- a/crates/forwarder/tests/loopback/support/mod.rs
+++ b/crates/forwarder/tests/loopback/support/mod.rs
@@ -2,6 +2,7 @@
 //! events.
 
 mod http;
+mod manual_discovery;
 mod requests;
 mod stub_server;
 mod test_bed;
@@ -12,6 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 pub use http::*;
+pub use manual_discovery::*;
 pub use requests::*;
 pub use stub_server::*;
 pub use test_bed::*;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -1,4 +1,5 @@
-//! Admission of requests to endpoints: circuit breaker, Retry-After, pacing and slow start.
+//! Admission of requests to endpoints: confirmation by discovery, circuit breaker, Retry-After, pacing and
+//! slow start.
 
 use std::time::Duration;
 
@@ -28,7 +29,8 @@
     pub(super) endpoints: Vec<AdmittedEndpoint>,
     /// Earliest time at which an endpoint that admits no request now may admit one.
     pub(super) next_admission: EarliestTime,
-    /// Whether an endpoint that admits no request now is [`Admission::Paced`].
+    /// Whether an endpoint that admits no request now is [`Admission::Paced`] or waits for its confirmation by
+    /// discovery.
     pub(super) any_paced: bool,
 }
 
@@ -41,6 +43,12 @@
             any_paced: false,
         };
         for (id, endpoint) in self.endpoints.active_endpoints(destination) {
+            if let Some(until) = self.endpoints.endpoint_unconfirmed_until(endpoint, now) {
+                // A confirmation does not wake each destination, so none may sleep until it.
+                admitted.any_paced = true;
+                admitted.next_admission.include(Some(until));
+                continue;
+            }
             let scope = self.endpoints.scope_of(id, endpoint);
             let half_open_trial = match self.admit(scope, endpoint, now) {
                 Admission::Admit => false,
--- a/src/policy/discovery.rs
+++ b/src/policy/discovery.rs
@@ -1,10 +1,15 @@
-//! Applies updates of the endpoint list, and schedules the next poll of the list after a failed one.
+//! Applies updates of the endpoint list, withholds requests until discovery has confirmed the list, and
+//! schedules the next poll of the list after a failed one.
 
 use std::time::Duration;
 
 use super::DeliveryPolicy;
 use crate::interface::{DestinationId, EndpointId, EndpointUpdate};
 
+/// Maximum time that requests wait for discovery to confirm the endpoint list. A discovery that has not
+/// answered by then counts as unavailable, and the last list is used.
+const MAX_CONFIRMATION_WAIT: Duration = Duration::from_secs(1);
+
 impl DeliveryPolicy {
     /// Begins an endpoint list: a complete one, or one with only the entries that changed.
     pub fn begin_endpoint_list(&mut self, complete: bool) {
@@ -20,8 +25,10 @@
         self.endpoints.apply_update(&update, slot_phase, |destination| queue.mark_changed(destination));
     }
 
-    /// Finishes the endpoint list. Removes the endpoints that a complete list did not name, and returns them.
+    /// Finishes the endpoint list, which confirms it. Removes the endpoints that a complete list did not name,
+    /// and returns them.
     pub fn finish_endpoint_list(&mut self) -> Vec<EndpointId> {
+        self.endpoints.confirm();
         let queue = &mut self.queue;
         self.endpoints.finish_list(|destination| queue.mark_changed(destination))
     }
@@ -32,6 +39,20 @@
         self.endpoints.abort_list();
     }
 
+    /// Withholds requests until discovery confirms the endpoint list, for a limited time. The host calls this
+    /// method when the list may be outdated: after a start with a cached list, when discovery has moved, and
+    /// while a list is being received.
+    ///
+    /// An address in an outdated list may belong to an endpoint of another destination by now.
+    pub fn await_list_confirmation(&mut self, now: Duration) {
+        self.endpoints.await_confirmation(now + MAX_CONFIRMATION_WAIT);
+    }
+
+    /// Records that discovery has confirmed the endpoint list without changes.
+    pub fn confirm_endpoint_list(&mut self) {
+        self.endpoints.confirm();
+    }
+
     /// Returns whether the endpoint list has named a destination; true for all destinations while no endpoint
     /// is known.
     #[must_use]
--- a/src/policy/scheduling.rs
+++ b/src/policy/scheduling.rs
@@ -62,6 +62,10 @@
         if self.in_flight_limit_reached() {
             return;
         }
+        if let Some(until) = self.endpoints.all_unconfirmed_until(now) {
+            wake.include(Some(until));
+            return;
+        }
         let awake = self.queue.awake_destinations().iter();
         let relative_waits: BTreeMap<_, _> = awake.map(|d| (*d, self.relative_wait(*d, now))).collect();
         let mut candidates: BinaryHeap<_> =
--- a/src/state/endpoint_directory.rs
+++ b/src/state/endpoint_directory.rs
@@ -21,6 +21,8 @@
     full_lists_begun: u32,
     /// Whether a full endpoint list has begun and not ended.
     receiving_full_list: bool,
+    /// Time until which the endpoints wait for discovery to confirm the list; `None` once it is confirmed.
+    unconfirmed_until: Option<Duration>,
 }
 
 impl EndpointDirectory {
@@ -34,6 +36,7 @@
             kinds,
             full_lists_begun: 0,
             receiving_full_list: false,
+            unconfirmed_until: None,
         }
     }
 
@@ -196,6 +199,30 @@
         self.receiving_full_list = false;
     }
 
+    /// Marks the list as unconfirmed by discovery. Endpoints wait for the confirmation at most until the given
+    /// time.
+    pub(crate) fn await_confirmation(&mut self, until: Duration) {
+        self.unconfirmed_until = Some(until);
+    }
+
+    /// Marks the list as confirmed by discovery.
+    pub(crate) fn confirm(&mut self) {
+        self.unconfirmed_until = None;
+    }
+
+    /// Returns the time until which all endpoints wait for discovery to confirm the list; `None` if any
+    /// endpoint may be used.
+    pub(crate) fn all_unconfirmed_until(&self, now: Duration) -> Option<Duration> {
+        self.unconfirmed_until.filter(|until| now < *until && !self.receiving_full_list)
+    }
+
+    /// Returns the time until which an endpoint waits for discovery to confirm it; `None` if it may be used.
+    /// A full list confirms each endpoint that it names, even before the list is complete.
+    pub(crate) fn endpoint_unconfirmed_until(&self, endpoint: &Endpoint, now: Duration) -> Option<Duration> {
+        let named = self.receiving_full_list && endpoint.last_full_list == self.full_lists_begun;
+        self.unconfirmed_until.filter(|until| now < *until && !named)
+    }
+
     /// Applies an entry of the endpoint list. `slot_phase` is the offset of the time slots of a new endpoint,
     /// as a fraction of a time slot. Calls `changed` with each destination whose endpoints changed.
     pub(crate) fn apply_update(
--- a/tests/policy/discovery.rs
+++ b/tests/policy/discovery.rs
@@ -133,3 +133,56 @@
     test.submit("a", IDEMPOTENT, 9);
     assert_eq!(test.started_after(ms(0)), ["a"]);
 }
+
+/// Guards against sending by an outdated list: its addresses may belong to other destinations by now.
+#[test]
+fn requests_wait_until_discovery_confirms_the_list() {
+    let mut test = PolicyTest::with_endpoints(ONE_ENDPOINT);
+    test.policy.await_list_confirmation(test.now);
+    test.submit("a", IDEMPOTENT, 9);
+    assert!(test.started_after(ms(0)).is_empty());
+    assert!(test.started_after(ms(900)).is_empty());
+    test.policy.confirm_endpoint_list();
+    assert_eq!(test.started_after(ms(0)), ["a"]);
+    // A list of changes confirms the rest of the list.
+    test.policy.await_list_confirmation(test.now);
+    test.submit("b", IDEMPOTENT, 9);
+    assert!(test.started_after(ms(0)).is_empty());
+    test.update_endpoints(&[listed(2, 8, SHARED_CIRCUIT)], EndpointState::Active);
+    assert_eq!(test.started_after(ms(0)), ["b"]);
+}
+
+/// Guards against an outage of deliveries while discovery is unavailable.
+#[test]
+fn requests_are_sent_by_an_unconfirmed_list_after_a_second() {
+    let mut test = PolicyTest::with_endpoints(ONE_ENDPOINT);
+    test.policy.await_list_confirmation(test.now);
+    test.submit("a", IDEMPOTENT, 9);
+    assert!(test.started_after(ms(0)).is_empty());
+    assert_eq!(test.host.timers.last(), Some(&ms(1000)), "expected a timer for the end of the wait");
+    assert!(test.started_after(ms(999)).is_empty());
+    assert_eq!(test.started_after(ms(1)), ["a"]);
+}
+
+#[test]
+fn incomplete_full_list_confirms_only_the_endpoints_that_it_has_named() {
+    let mut test = PolicyTest::with_endpoints(&[listed(1, 9, SHARED_CIRCUIT), listed(2, 8, SHARED_CIRCUIT)]);
+    test.policy.begin_endpoint_list(true);
+    test.policy.await_list_confirmation(test.now);
+    test.submit("nine", IDEMPOTENT, 9);
+    test.submit("eight", IDEMPOTENT, 8);
+    assert!(test.started_after(ms(0)).is_empty());
+    test.update_endpoint(&listed(2, 8, SHARED_CIRCUIT), EndpointState::Active);
+    assert_eq!(test.started_after(ms(0)), ["eight"]);
+    test.update_endpoint(&listed(1, 9, SHARED_CIRCUIT), EndpointState::Active);
+    assert_eq!(test.started_after(ms(0)), ["nine"]);
+}
+
+#[test]
+fn message_that_waits_for_the_confirmation_gets_its_final_answer_at_its_deadline() {
+    let mut test = PolicyTest::with_endpoints(ONE_ENDPOINT);
+    test.policy.await_list_confirmation(test.now);
+    test.submit_with_deadline("a", IDEMPOTENT, 9, test.now + ms(400));
+    let commands = [test.run_after(ms(0)), test.run_after(ms(400))].concat();
+    assert_eq!(finished(&commands), ["a"]);
+}
