Reuse a connection only after it was silent for 100 ms

Cause: a connection went back to the pool as soon as a response was read, and the next request could use it at once. A response carries no id, so that a second copy of it, still under way, was taken as the response to that request. The check before the first byte sees only bytes that have arrived.

Evidence: debug log of the failing case. An attempt on the connection of a rejection 0.1 ms before it ended as rejected after 14 ms, on a way of 120 ms; the endpoint ran it later, and the next attempt as well.

Change: take_idle uses the most recently used connection that was silent for SETTLING_TIME. The way delays a response and its copy alike, so that the copy arrives that long after the response whatever the way; it then finds the connection idle, which closes it.

Related paths: rejections, completions, batches, ways of 10 to 120 ms.

Tests: the four of surplus_responses failed before and pass now. Four tests took it that a connection is reused at once, which was the fault: they wait for the connection to settle, with the same assertions.

--- a/crates/forwarder/src/connections/connection.rs
+++ b/crates/forwarder/src/connections/connection.rs
@@ -112,6 +112,11 @@
         self.idle_before_use
     }
 
+    /// Returns whether any request was sent on the connection.
+    pub(super) fn was_used(&self) -> bool {
+        self.requests_sent > 0
+    }
+
     /// Returns whether the last request was the first one on the connection.
     pub(crate) fn is_first_request(&self) -> bool {
         self.requests_sent == 1
--- a/crates/forwarder/src/connections/pool.rs
+++ b/crates/forwarder/src/connections/pool.rs
@@ -15,19 +15,33 @@
 use super::{lock, Connection};
 use crate::idle_permits::IdlePermits;
 
+/// How long a connection must stay silent after a response before it carries another request.
+///
+/// HTTP/1 responses carry no id: bytes that an endpoint sends after its response, such as a second copy, would
+/// be taken as the response to the next request.
+const SETTLING_TIME: Duration = Duration::from_millis(100);
+
 /// An open connection that is kept for the next request to its endpoint.
 struct IdleConnection {
     connection: Connection,
     idle_since: Instant,
 }
 
+impl IdleConnection {
+    /// Returns whether the connection was silent for long enough to carry a request. A connection without a
+    /// request so far always was.
+    fn has_settled(&self) -> bool {
+        !self.connection.was_used() || self.idle_since.elapsed() >= SETTLING_TIME
+    }
+}
+
 /// The idle connections of each endpoint, most recently used last.
 type IdleByEndpoint = BTreeMap<EndpointId, VecDeque<IdleConnection>>;
 
 /// A pool of connections to endpoints. Clones share one pool.
 ///
-/// An idle connection is closed before its endpoint would close it, and is reused only for the same endpoint
-/// because its address may be assigned to another endpoint.
+/// An idle connection is closed before its endpoint would close it, and is reused only after it has settled
+/// and only for the same endpoint, because its address may be assigned to another endpoint.
 ///
 /// No lock is held across an await. Code that takes both locks takes `idle_permits` before
 /// `idle_connections`.
@@ -77,19 +91,22 @@
         Connection::open(address, self.connect_timeout, Some(permit)).await
     }
 
-    /// Returns the most recently used idle connection that is still reusable. Connections that were used more
-    /// recently but are not reusable are closed.
+    /// Returns the most recently used idle connection that has settled. Connections that can't be used any
+    /// more are closed.
     fn take_idle(&self, endpoint: EndpointId) -> Option<Connection> {
         let reusable_idle_time = lock(&self.reuse_history).reusable_idle_time().min(self.max_idle_time);
         let mut idle = lock(&self.idle_connections);
         let connections = idle.get_mut(&endpoint)?;
-        while let Some(IdleConnection { connection, idle_since }) = connections.pop_back() {
-            let idle_for = idle_since.elapsed();
-            if idle_for < reusable_idle_time && connection.is_ready() {
-                return Some(connection.with_idle_before_use(idle_for));
-            }
-        }
-        None
+        connections
+            .retain(|idle| idle.idle_since.elapsed() < reusable_idle_time && idle.connection.is_ready());
+        let most_recent = most_recent_settled(connections)?;
+        let IdleConnection { connection, idle_since } = connections.remove(most_recent)?;
+        Some(connection.with_idle_before_use(idle_since.elapsed()))
+    }
+
+    /// Returns whether the next request to the endpoint can use an idle connection.
+    pub fn has_settled_connection(&self, endpoint: EndpointId) -> bool {
+        lock(&self.idle_connections).get(&endpoint).and_then(most_recent_settled).is_some()
     }
 
     /// Acquires the permit for a new connection. At the limit, the connection that was idle longest is
@@ -195,3 +212,8 @@
         lock(&self.send_restrictions).remove_expired(Instant::now());
     }
 }
+
+/// Returns the position of the most recently used connection that has settled.
+fn most_recent_settled(connections: &VecDeque<IdleConnection>) -> Option<usize> {
+    connections.iter().rposition(IdleConnection::has_settled)
+}
--- a/crates/forwarder/src/request_sender/sender.rs
+++ b/crates/forwarder/src/request_sender/sender.rs
@@ -23,7 +23,7 @@
 use crate::connections::{lock, Connection, ConnectionPool};
 
 /// How long the rest of a response is read before a known result is returned. A connection whose response
-/// ends within this time is available to the next request.
+/// ends within this time is in the pool before its result is reported.
 const REMAINDER_WAIT_BEFORE_RESULT: Duration = Duration::from_millis(20);
 /// How long the rest of a response is read in the background before the connection is closed.
 const REMAINDER_READ_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/forwarder/tests/loopback/deadlines.rs
+++ b/crates/forwarder/tests/loopback/deadlines.rs
@@ -98,6 +98,7 @@
         let (attempts, _cancels) = pending_attempts(&first, LONG_TIMEOUT);
         run_request(request_sender.clone(), first, attempts, sender.clone()).await;
         assert_eq!(next_result(&mut events).await, ("first".into(), AttemptResult::Completed));
+        wait_for_settled_connection(&request_sender, ENDPOINT).await;
         let both = request(endpoint.address, &[("late", LONG_TIMEOUT), ("in-time", LONG_TIMEOUT)]);
         let (mut attempts, _cancels) = pending_attempts(&both, LONG_TIMEOUT);
         // The start deadline of "late" has passed, as if its idempotency key expired while the write-ahead
--- a/crates/forwarder/tests/loopback/endpoint_connections.rs
+++ b/crates/forwarder/tests/loopback/endpoint_connections.rs
@@ -79,6 +79,8 @@
                 (send_to(&mut request_sender, 1, &open).await, send_to(&mut request_sender, 3, &other).await),
                 (AttemptResult::Completed, AttemptResult::Completed)
             );
+            wait_for_settled_connection(&request_sender, EndpointId(1)).await;
+            wait_for_settled_connection(&request_sender, EndpointId(3)).await;
         }
         assert!(
             open.received().iter().all(|m| m.connection == 0),
@@ -95,6 +97,7 @@
             assert_eq!(send_to(&mut request_sender, 1, &open).await, AttemptResult::Completed);
             open.wait_for_closed_connections(n + 1).await;
             assert_eq!(send_to(&mut request_sender, 3, &other).await, AttemptResult::Completed);
+            wait_for_settled_connection(&request_sender, EndpointId(3)).await;
         }
         assert!(
             other.received().iter().all(|m| m.connection == 0),
@@ -119,6 +122,8 @@
         for (endpoint, server) in [(1, &leaving), (2, &open)] {
             assert_eq!(send_to(&mut request_sender, endpoint, server).await, AttemptResult::Completed);
         }
+        wait_for_settled_connection(&request_sender, EndpointId(1)).await;
+        wait_for_settled_connection(&request_sender, EndpointId(2)).await;
         leaving.set_script(|_| ScriptedResponse::SendAndClose(UNAVAILABLE_AND_CLOSE.into()));
         assert_eq!(
             send_to(&mut request_sender, 1, &leaving).await,
--- a/crates/forwarder/tests/loopback/main.rs
+++ b/crates/forwarder/tests/loopback/main.rs
@@ -15,5 +15,6 @@
 mod streamed_lists;
 mod submissions;
 mod support;
+mod surplus_responses;
 mod unconfirmed_list;
 mod watch;
--- a/crates/forwarder/tests/loopback/support/mod.rs
+++ b/crates/forwarder/tests/loopback/support/mod.rs
@@ -5,6 +5,7 @@
 mod manual_discovery;
 mod requests;
 mod stub_server;
+mod surplus_endpoint;
 mod test_bed;
 
 use std::future::Future;
@@ -16,6 +17,7 @@
 pub use manual_discovery::*;
 pub use requests::*;
 pub use stub_server::*;
+pub use surplus_endpoint::*;
 pub use test_bed::*;
 
 /// How long [`wait_for`] waits before it fails the test.
--- a/crates/forwarder/tests/loopback/support/requests.rs
+++ b/crates/forwarder/tests/loopback/support/requests.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use super::{ms, StubServer};
+use super::{ms, wait_for, StubServer};
 
 /// The endpoint to which [`request`] is addressed.
 pub const ENDPOINT: EndpointId = EndpointId(1);
@@ -28,6 +28,12 @@
     request_sender(ms(30_000))
 }
 
+/// Waits until the next request to an endpoint can use an idle connection.
+pub async fn wait_for_settled_connection(request_sender: &RequestSender, endpoint: EndpointId) {
+    let settled = || request_sender.connections().has_settled_connection(endpoint).then_some(());
+    wait_for("a settled connection", settled).await
+}
+
 /// Returns a request with one message and a response deadline in 5 s.
 pub fn request_to(endpoint: &StubServer, id: &str) -> EndpointRequest {
     request(endpoint.address, &[(id, ms(5000))])
