Send nothing to a former address after its endpoint has moved

What callers could see: a request that waits for its connection while the list moves its endpoint went to the former address, which another endpoint may have by then.

Cause: the check before the first byte asked for the endpoint's state and its Retry-After, not for the address that the request was scheduled for.

Change: the pool keeps the current address of endpoints that have moved, and a request to another one ends as not sent.

--- a/crates/forwarder/src/connections/pool.rs
+++ b/crates/forwarder/src/connections/pool.rs
@@ -191,13 +191,21 @@
         endpoints.iter().for_each(|endpoint| idle_permits.forget(*endpoint));
     }
 
-    /// Checks whether a request that waited for its connection may still be sent. The error is the result of
-    /// its messages.
-    pub fn check_may_send(&self, endpoint: EndpointId) -> Result<(), AttemptResult> {
-        lock(&self.send_restrictions).check(endpoint, Instant::now())
+    /// Records the new address of an endpoint whose address has changed, and closes its idle connections.
+    ///
+    /// No request is sent to the previous address, not even one that already waits for its connection.
+    pub fn endpoint_moved(&self, endpoint: EndpointId, address: SocketAddr) {
+        lock(&self.send_restrictions).set_moved(endpoint, address);
+        self.close_idle(endpoint);
+    }
+
+    /// Checks whether a request to this address that waited for its connection may still be sent. The error is
+    /// the result of its messages.
+    pub fn check_may_send(&self, endpoint: EndpointId, address: SocketAddr) -> Result<(), AttemptResult> {
+        lock(&self.send_restrictions).check(endpoint, address, Instant::now())
     }
 
-    pub(crate) fn close_idle(&self, endpoint: EndpointId) {
+    fn close_idle(&self, endpoint: EndpointId) {
         lock(&self.idle_connections).remove(&endpoint);
     }
 
--- a/crates/forwarder/src/connections/send_restrictions.rs
+++ b/crates/forwarder/src/connections/send_restrictions.rs
@@ -1,6 +1,7 @@
 //! Endpoints to which no request may currently be sent.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use reeddock::{EndpointId, EndpointState};
 use reeddock_protocol::AttemptResult;
@@ -13,6 +14,8 @@
     retry_after_until: BTreeMap<EndpointId, Instant>,
     /// Endpoints that the endpoint list marks as draining or removed.
     inactive: BTreeSet<EndpointId>,
+    /// The current addresses of endpoints whose address has changed.
+    moved_to: BTreeMap<EndpointId, SocketAddr>,
 }
 
 impl SendRestrictions {
@@ -31,9 +34,15 @@
         };
     }
 
-    /// Deletes the listed state of an endpoint.
+    /// Records the new address of an endpoint whose address has changed.
+    pub(super) fn set_moved(&mut self, endpoint: EndpointId, address: SocketAddr) {
+        self.moved_to.insert(endpoint, address);
+    }
+
+    /// Deletes the listed state and address of an endpoint.
     pub(super) fn remove_state(&mut self, endpoint: EndpointId) {
         self.inactive.remove(&endpoint);
+        self.moved_to.remove(&endpoint);
     }
 
     /// Removes `Retry-After` restrictions that have expired.
@@ -41,12 +50,20 @@
         self.retry_after_until.retain(|_, until| *until > now);
     }
 
-    /// Checks whether a request may be sent now. The error is the result of its messages, none of which was
-    /// sent.
-    pub(super) fn check(&self, endpoint: EndpointId, now: Instant) -> Result<(), AttemptResult> {
+    /// Checks whether a request to this address may be sent now. The error is the result of its messages, none
+    /// of which was sent.
+    pub(super) fn check(
+        &self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Result<(), AttemptResult> {
         if self.inactive.contains(&endpoint) {
             return Err(AttemptResult::EndpointDraining);
         }
+        if self.moved_to.get(&endpoint).is_some_and(|current| *current != address) {
+            return Err(AttemptResult::NotSent);
+        }
         if self.retry_after_until.get(&endpoint).is_some_and(|until| *until > now) {
             return Err(AttemptResult::RetryAfterActive);
         }
--- a/crates/forwarder/src/event_loop/endpoint_list.rs
+++ b/crates/forwarder/src/event_loop/endpoint_list.rs
@@ -140,7 +140,7 @@
         match self.state.endpoints_mut().set_location(endpoint, location) {
             LocationChange::New => self.log_new_endpoint(endpoint, address, entry),
             // Another machine may use the previous address by now.
-            LocationChange::Moved => self.connections.close_idle(endpoint),
+            LocationChange::Moved => self.connections.endpoint_moved(endpoint, address),
             LocationChange::Same => {}
         }
     }
--- a/crates/forwarder/src/request_sender/sender.rs
+++ b/crates/forwarder/src/request_sender/sender.rs
@@ -174,7 +174,7 @@
     /// Selects the messages to send after the connection is open, because messages may have expired or been
     /// cancelled meanwhile. The error is the result of every message.
     fn start_sending(&self) -> Result<SentBatch, AttemptResult> {
-        self.connections.check_may_send(self.request.endpoint)?;
+        self.connections.check_may_send(self.request.endpoint, self.request.address)?;
         let positions = self.request.send_state.start_sending(self.request.messages.len());
         let batch: Vec<&BatchMessage> =
             positions.iter().map(|position| &self.request.messages[*position]).collect();
--- a/crates/forwarder/tests/loopback/retry_after.rs
+++ b/crates/forwarder/tests/loopback/retry_after.rs
@@ -27,7 +27,10 @@
             (&[MessageResult { position: 0, result: AttemptResult::RetryAfterActive }][..], 0)
         );
         assert!(AttemptResult::RetryAfterActive.outcome().proves_not_executed());
-        wait_for("the end of the Retry-After", || connections.check_may_send(ENDPOINT).ok()).await;
+        wait_for("the end of the Retry-After", || {
+            connections.check_may_send(ENDPOINT, endpoint.address).ok()
+        })
+        .await;
         let after = request_sender.call(request_to(&endpoint, "after")).await.unwrap();
         assert_eq!(after.results, [MessageResult { position: 0, result: AttemptResult::Completed }]);
         assert_eq!(endpoint.received()[0].connection, 0, "expected the connection of the earlier request");
@@ -107,3 +110,12 @@
         drop(read_message(&mut second).await);
     });
 }
+
+/// Guards against a request to a former address: an endpoint moves while a connection to it is opened.
+#[test]
+fn endpoint_that_moves_while_connecting_receives_no_request_at_its_former_address() {
+    run_test(check_nothing_is_sent_after(
+        |connections| connections.endpoint_moved(ENDPOINT, "127.0.0.1:1".parse().unwrap()),
+        AttemptResult::NotSent,
+    ));
+}
