Keep a Retry-After for the endpoint that has taken over its address

Cause: a list is late, so that a request under the former endpoint's name reaches the process that has its address now. That process' wait was booked for the former name only, and nothing was known of it once the list named the new endpoint.

Evidence: two tests on loopback, a Retry-After of 1.5 s, the next request after 20 ms and after 10 ms.

Change: the event loop keeps each Retry-After by address until its end, too (AddressPauses). An endpoint that is listed at an address takes over what came from there since its start (startedAtMs); one that has the address when the response comes takes it over then.

Measured: the two tests failed before and pass now, with a wait of 1.5 s; a third holds that a Retry-After from before the endpoint's start does not bind it. Tests of reeddock, reeddock-forwarder and reeddock-protocol: no failure.

--- a/crates/forwarder/src/connections/pool.rs
+++ b/crates/forwarder/src/connections/pool.rs
@@ -199,6 +199,11 @@
         self.close_idle(endpoint);
     }
 
+    /// Returns whether the endpoint list has the endpoint as active, and at this address.
+    pub(crate) fn may_send_to(&self, endpoint: EndpointId, address: SocketAddr) -> bool {
+        lock(&self.send_restrictions).check_listed(endpoint, address).is_ok()
+    }
+
     /// Checks whether a request to this address that waited for its connection may still be sent. The error is
     /// the result of its messages.
     pub fn check_may_send(&self, endpoint: EndpointId, address: SocketAddr) -> Result<(), AttemptResult> {
--- a/crates/forwarder/src/connections/send_restrictions.rs
+++ b/crates/forwarder/src/connections/send_restrictions.rs
@@ -50,13 +50,11 @@
         self.retry_after_until.retain(|_, until| *until > now);
     }
 
-    /// Checks whether a request to this address may be sent now. The error is the result of its messages, none
-    /// of which was sent.
-    pub(super) fn check(
+    /// Checks whether the endpoint list has the endpoint as active, and at this address.
+    pub(super) fn check_listed(
         &self,
         endpoint: EndpointId,
         address: SocketAddr,
-        now: Instant,
     ) -> Result<(), AttemptResult> {
         if self.inactive.contains(&endpoint) {
             return Err(AttemptResult::EndpointDraining);
@@ -64,6 +62,18 @@
         if self.moved_to.get(&endpoint).is_some_and(|current| *current != address) {
             return Err(AttemptResult::NotSent);
         }
+        Ok(())
+    }
+
+    /// Checks whether a request to this address may be sent now. The error is the result of its messages, none
+    /// of which was sent.
+    pub(super) fn check(
+        &self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Result<(), AttemptResult> {
+        self.check_listed(endpoint, address)?;
         if self.retry_after_until.get(&endpoint).is_some_and(|until| *until > now) {
             return Err(AttemptResult::RetryAfterActive);
         }
--- a/crates/forwarder/src/endpoints.rs
+++ b/crates/forwarder/src/endpoints.rs
@@ -75,8 +75,8 @@
     }
 }
 
-/// All endpoints that have an id and are not forgotten. Each operation takes constant time, independent of
-/// the number of endpoints.
+/// All endpoints that have an id and are not forgotten. Unless it says otherwise, an operation takes constant
+/// time, independent of the number of endpoints.
 #[derive(Default)]
 pub struct EndpointTable {
     /// The endpoints by the number in their id.
@@ -134,6 +134,13 @@
         Some(EndpointLocation { address: row.address.get()?, max_batch: row.max_batch as usize })
     }
 
+    /// Returns the endpoints whose last address is this one. Takes time in proportion to the number of all
+    /// endpoints, and is meant for rare events.
+    pub fn endpoints_at(&self, address: SocketAddr) -> Vec<EndpointId> {
+        let at_address = self.rows.iter().filter(|(_, row)| row.address.get() == Some(address));
+        at_address.map(|(number, _)| EndpointId(*number)).collect()
+    }
+
     /// Returns the number of endpoints that have an address.
     pub fn located_count(&self) -> usize {
         self.located_count
--- a/crates/forwarder/src/event_loop/attempt_results.rs
+++ b/crates/forwarder/src/event_loop/attempt_results.rs
@@ -1,5 +1,6 @@
 //! Records the results of attempts for the write-ahead log, and passes them to the policy.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use reeddock::{AttemptNumber, AttemptOutcome, EndpointId, FinishedAttempt, MessageId};
@@ -11,16 +12,31 @@
 
 impl EventLoop {
     /// Handles a `Retry-After` header from an endpoint that accepted messages.
-    pub(super) fn pause_endpoint(&mut self, endpoint: EndpointId, pause: Duration, now: Duration) {
+    pub(super) fn pause_endpoint(
+        &mut self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        pause: Duration,
+        now: Duration,
+    ) {
         self.postpone_requests(endpoint, now + pause);
         self.policy.retry_after_received(now, endpoint, pause);
+        self.record_address_pause(endpoint, address, pause, now);
     }
 
-    /// Postpones requests to an endpoint that are still waiting for a connection, because the policy can't
-    /// postpone them itself.
-    fn postpone_requests(&self, endpoint: EndpointId, until: Duration) {
-        for endpoint in self.policy.endpoints_sharing_circuit(endpoint) {
-            self.connections.set_retry_after(endpoint, self.clock.instant_at(until));
+    /// Records the `Retry-After` of a rejection for the address that sent it. Must be called before the attempt
+    /// is finished.
+    pub(super) fn record_rejection_pause(
+        &mut self,
+        message: &MessageId,
+        number: AttemptNumber,
+        address: SocketAddr,
+        result: AttemptResult,
+        now: Duration,
+    ) {
+        let AttemptResult::Rejected { retry_after: Some(pause) } = result else { return };
+        if let Some(endpoint) = self.policy.attempt_endpoint(message, number) {
+            self.record_address_pause(endpoint, address, pause, now);
         }
     }
 
--- a/crates/forwarder/src/event_loop/endpoint_list.rs
+++ b/crates/forwarder/src/event_loop/endpoint_list.rs
@@ -141,8 +141,9 @@
             LocationChange::New => self.log_new_endpoint(endpoint, address, entry),
             // Another machine may use the previous address by now.
             LocationChange::Moved => self.connections.endpoint_moved(endpoint, address),
-            LocationChange::Same => {}
+            LocationChange::Same => return,
         }
+        self.inherit_address_pause(endpoint, address, entry);
     }
 
     /// Logs the name and address of a new endpoint with its id, which identifies the endpoint in other log
--- a/crates/forwarder/src/event_loop/mod.rs
+++ b/crates/forwarder/src/event_loop/mod.rs
@@ -10,7 +10,7 @@
 //! | give final answers, accept messages, number attempts | [`state`], [`pending_messages`] |
 //! | append the records to the write-ahead log | [`log_writer`] |
 //! | start requests with the attempts | [`requests`] |
-//! | handle the results of attempts | [`attempt_results`] |
+//! | handle the results of attempts | [`attempt_results`], [`retry_after`] |
 //! | send notices to the platform | [`notices`] |
 //!
 //! [`run`] waits for events, [`endpoint_list`] applies the endpoint list, and [`restore`] restores pending
@@ -26,6 +26,7 @@
 mod pending_messages;
 mod requests;
 mod restore;
+mod retry_after;
 mod run;
 mod state;
 mod submissions;
@@ -39,6 +40,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
+use crate::address_pauses::AddressPauses;
 use crate::clock::Clock;
 use crate::connections::ConnectionPool;
 use crate::events::Event;
@@ -85,6 +87,7 @@
     max_message_bytes: u64,
     batch_limits: BatchLimits,
     connections: ConnectionPool,
+    address_pauses: AddressPauses,
     request_sender: RequestSender,
     /// The tasks of the requests in flight, which end with the event loop.
     requests: JoinSet<()>,
@@ -112,6 +115,7 @@
             batch_limits,
             request_sender: RequestSender::new(connections.clone()),
             connections,
+            address_pauses: AddressPauses::default(),
             requests: JoinSet::new(),
             list_status,
             notices,
--- a/crates/forwarder/src/event_loop/run.rs
+++ b/crates/forwarder/src/event_loop/run.rs
@@ -93,10 +93,13 @@
             Event::Submission { submission, received_at, reply } => {
                 self.submit(submission, received_at, reply, now)
             }
-            Event::AttemptFinished { message, number, result } => {
+            Event::AttemptFinished { message, number, address, result } => {
+                self.record_rejection_pause(&message, number, address, result, now);
                 self.finish_attempt(message, number, result, now)
             }
-            Event::RetryAfter { endpoint, retry_after } => self.pause_endpoint(endpoint, retry_after, now),
+            Event::RetryAfter { endpoint, address, retry_after } => {
+                self.pause_endpoint(endpoint, address, retry_after, now)
+            }
             Event::LoadReported { endpoint, report } => self.policy.load_reported(endpoint, report),
             Event::ListEvents(events) => self.apply_list_events(events),
             Event::ListMalformed(list) => self.reject_malformed_list(&list),
--- a/crates/forwarder/src/events.rs
+++ b/crates/forwarder/src/events.rs
@@ -1,5 +1,6 @@
 //! The events that reach the event loop.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use reeddock::{AttemptNumber, EndpointId, LoadReport, MessageId};
@@ -27,13 +28,17 @@
         message: MessageId,
         /// The number of the attempt among the attempts of its message, from 0.
         number: AttemptNumber,
+        /// The address that the request was scheduled for.
+        address: SocketAddr,
         /// The result of the attempt.
         result: AttemptResult,
     },
     /// An endpoint sent a `Retry-After` header although it accepted messages.
     RetryAfter {
-        /// The endpoint that sent the header.
+        /// The endpoint to which the request was sent.
         endpoint: EndpointId,
+        /// The address that sent the header.
+        address: SocketAddr,
         /// How long no request may be sent to the endpoint, counted from the handling of this event.
         retry_after: Duration,
     },
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -13,6 +13,7 @@
 //! | [`events`] | the events that reach the event loop |
 //! | `event_loop` | owns the delivery policy and the write-ahead log |
 //! | [`endpoints`] | names, ids and addresses of endpoints |
+//! | [`address_pauses`] | the `Retry-After` of each address, for endpoints that are listed there later |
 //! | [`request_sender`] | sends requests to endpoints and interprets the responses |
 //! | [`connections`] | the pool of connections to endpoints |
 //! | [`http_progress`] | the progress of an HTTP exchange on a connection |
@@ -28,6 +29,7 @@
 //! | `log_throttle` | limits the rate of repeated log lines |
 //! | [`clock`] | the policy's time, and the wall-clock time of stored records |
 
+pub mod address_pauses;
 pub mod cached_endpoint_list;
 pub mod clock;
 pub mod connections;
--- a/crates/forwarder/src/request_sender/supervisor.rs
+++ b/crates/forwarder/src/request_sender/supervisor.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -156,6 +157,7 @@
 /// Tracks which messages of a request have no result yet.
 struct Supervisor {
     endpoint: EndpointId,
+    address: SocketAddr,
     /// The messages, by position in the request.
     messages: Vec<SupervisedMessage>,
     event_loop: mpsc::Sender<Event>,
@@ -172,7 +174,7 @@
             SupervisedMessage { unfinished: Some(id), response_deadline: message.response_deadline }
         };
         let messages = attempts.iter().zip(&request.messages).map(supervised).collect();
-        Supervisor { endpoint: request.endpoint, messages, event_loop }
+        Supervisor { endpoint: request.endpoint, address: request.address, messages, event_loop }
     }
 
     /// Returns whether any message has no result yet.
@@ -208,7 +210,10 @@
     }
 
     async fn report_retry_after(&self, retry_after: Duration) {
-        let _ = self.event_loop.send(Event::RetryAfter { endpoint: self.endpoint, retry_after }).await;
+        let _ = self
+            .event_loop
+            .send(Event::RetryAfter { endpoint: self.endpoint, address: self.address, retry_after })
+            .await;
     }
 
     /// Replaces the result `Completed` with `TimedOut` if it is received after the response deadline.
@@ -235,7 +240,10 @@
     async fn report(&self, reports: Vec<AttemptReport>) {
         for AttemptReport { attempt: AttemptId { message, number }, result } in reports {
             // The event loop runs until the process ends.
-            let _ = self.event_loop.send(Event::AttemptFinished { message, number, result }).await;
+            let _ = self
+                .event_loop
+                .send(Event::AttemptFinished { message, number, address: self.address, result })
+                .await;
         }
     }
 }
--- a/crates/forwarder/tests/loopback/retry_after.rs
+++ b/crates/forwarder/tests/loopback/retry_after.rs
@@ -1,9 +1,12 @@
 //! Requests that are not sent because the endpoint sets a `Retry-After` or starts draining.
 
-use reeddock::EndpointState;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use reeddock::{EndpointState, MessageId};
 use reeddock_forwarder::connections::ConnectionPool;
 use reeddock_forwarder::request_sender::{run_request, MessageResult};
 use reeddock_protocol::AttemptResult;
+use reeddock_wal::inspect;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -111,6 +114,114 @@
     });
 }
 
+/// Returns the changes in which endpoint `u` of destination 4 takes over the address of the test bed's endpoint.
+fn takeover(test_bed: &TestBed, started_at_unix_ms: u128) -> String {
+    let started_at = format!(r#""startedAtMs":{started_at_unix_ms}"#);
+    let successor = list_entry("u", test_bed.endpoint.address, 4, "Ready");
+    let successor = successor.replace(r#""startedAtMs":0"#, &started_at);
+    endpoint_list(2, false, &[test_bed.endpoint_entry("Gone"), successor])
+}
+
+/// Submits a message for destination 4 until it is accepted, and returns when its endpoint receives it.
+async fn deliver_to_successor(test_bed: &TestBed, forwarder: &RunningForwarder) -> Instant {
+    let submission = submission("successor", "note", 9.0, "").replace("dest=3", "dest=4");
+    let start = Instant::now();
+    // The destination is unknown until the list is applied.
+    while forwarder.request(&submission).await.status() != 202 {
+        assert!(start.elapsed() < LONG_TIMEOUT, "expected the list to be applied");
+    }
+    test_bed.endpoint.wait_for_message("successor").await;
+    Instant::now()
+}
+
+const RETRY_AFTER: std::time::Duration = ms(1500);
+const REJECTED_WITH_RETRY_AFTER: &str = "HTTP/1.1 429 x\r\nretry-after: 1.5\r\ncontent-length: 0\r\n\r\n";
+
+/// Returns a test bed whose endpoint rejects the message `rejected` with a Retry-After of 1.5 s.
+async fn test_bed_with_retry_after() -> TestBed {
+    TestBed::new(|m| match m.id() {
+        "rejected" => ScriptedResponse::Send(REJECTED_WITH_RETRY_AFTER.into()),
+        _ => ScriptedResponse::ok(),
+    })
+    .await
+}
+
+/// Guards against a request within a Retry-After: the process at an address sets it for a request that was sent
+/// under the name of its predecessor, because the list was late.
+#[test]
+fn retry_after_of_an_address_applies_to_the_endpoint_that_is_listed_there_later() {
+    run_test(async {
+        let test_bed = test_bed_with_retry_after().await;
+        let forwarder = test_bed.start_forwarder().await;
+        assert_eq!(forwarder.submit("rejected", "note").await, 202);
+        test_bed.endpoint.wait_for_message("rejected").await;
+        let rejected_at = Instant::now();
+        test_bed.publish_list_update(takeover(&test_bed, 0));
+        let delivered_at = deliver_to_successor(&test_bed, &forwarder).await;
+        assert!(delivered_at - rejected_at >= RETRY_AFTER - ms(20), "{:?}", delivered_at - rejected_at);
+        forwarder.kill();
+    });
+}
+
+/// Guards against a wait without need: the successor started after the Retry-After, which is not its own.
+#[test]
+fn retry_after_does_not_apply_to_an_endpoint_that_started_after_it() {
+    run_test(async {
+        let test_bed = test_bed_with_retry_after().await;
+        let forwarder = test_bed.start_forwarder().await;
+        assert_eq!(forwarder.submit("rejected", "note").await, 202);
+        test_bed.endpoint.wait_for_message("rejected").await;
+        let rejected_at = Instant::now();
+        let in_a_minute = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() + 60_000;
+        test_bed.publish_list_update(takeover(&test_bed, in_a_minute));
+        let delivered_at = deliver_to_successor(&test_bed, &forwarder).await;
+        assert!(delivered_at - rejected_at < RETRY_AFTER, "{:?}", delivered_at - rejected_at);
+        forwarder.kill();
+    });
+}
+
+/// Guards against the same break where the response to the request under the former name comes after the list.
+#[test]
+fn retry_after_for_a_former_endpoint_applies_to_the_endpoint_that_has_its_address() {
+    run_test(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let test_bed = TestBed::with_working_endpoint().await;
+        let former = list_entry("t", address, 3, "Ready");
+        let forwarder = test_bed.start_forwarder_with_list(endpoint_list(1, true, &[former])).await;
+        assert_eq!(forwarder.submit("rejected", "note").await, 202);
+        let (mut under_former_name, _) = listener.accept().await.unwrap();
+        assert_eq!(read_message(&mut under_former_name).await.unwrap().id(), "rejected");
+        let gone = list_entry("t", address, 3, "Gone");
+        let successor = list_entry("u", address, 4, "Ready");
+        test_bed.publish_list_update(endpoint_list(2, false, &[gone, successor]));
+        // The list is applied once a message for its destination is accepted.
+        let to_successor = |id: &str| submission(id, "order", 9.0, "").replace("dest=3", "dest=4");
+        while forwarder.request(&to_successor("before")).await.status() != 202 {}
+        let (mut under_new_name, _) = listener.accept().await.unwrap();
+        assert_eq!(read_message(&mut under_new_name).await.unwrap().id(), "before");
+        under_new_name.write_all(OK_RESPONSE.as_bytes()).await.unwrap();
+        under_former_name.write_all(REJECTED_WITH_RETRY_AFTER.as_bytes()).await.unwrap();
+        let rejected_at = Instant::now();
+        let attempt_finished = || {
+            let index = inspect(test_bed.state_folder()).unwrap().index;
+            let rejected = index.get(&MessageId("rejected".into())).cloned();
+            rejected.is_none_or(|pending| pending.attempts[0].state.proves_not_executed()).then_some(())
+        };
+        wait_for("the result of the rejected attempt", attempt_finished).await;
+        assert_eq!(forwarder.request(&to_successor("after")).await.status(), 202);
+        let next_request = async {
+            tokio::select! {
+                message = read_message(&mut under_new_name) => message,
+                accepted = listener.accept() => read_message(&mut accepted.unwrap().0).await,
+            }
+        };
+        assert_eq!(next_request.await.unwrap().id(), "after");
+        assert!(rejected_at.elapsed() >= RETRY_AFTER - ms(20), "{:?}", rejected_at.elapsed());
+        forwarder.kill();
+    });
+}
+
 /// Guards against a request to a former address: an endpoint moves while a connection to it is opened.
 #[test]
 fn endpoint_that_moves_while_connecting_receives_no_request_at_its_former_address() {
--- a/crates/forwarder/tests/units.rs
+++ b/crates/forwarder/tests/units.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use reeddock::EndpointId;
+use reeddock_forwarder::address_pauses::AddressPauses;
 use reeddock_forwarder::clock::Clock;
 use reeddock_forwarder::endpoints::{EndpointLocation, EndpointTable, LocationChange};
 use reeddock_forwarder::http_progress::{RequestProgress, StatusLine};
@@ -189,3 +190,39 @@
         "expected a kind without listed endpoints to be forgotten"
     );
 }
+
+/// Guards against memory that grows with each address that has ever set a Retry-After.
+#[test]
+fn pauses_of_addresses_are_removed_after_their_end() {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let mut pauses = AddressPauses::default();
+    let second = Duration::from_secs(1);
+    for n in 1..1000 {
+        pauses.record(address(n), 2 * second, second * u32::from(n));
+        assert!(pauses.count() <= 3, "expected at most three pauses that have not ended");
+    }
+}
+
+#[test]
+fn pause_of_an_address_binds_endpoints_that_started_before_it() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let second = Duration::from_secs(1);
+    let mut pauses = AddressPauses::default();
+    pauses.record(address, 4 * second, 10 * second);
+    pauses.record(address, second, 11 * second);
+    assert_eq!(pauses.remaining(address, 10 * second, 12 * second), Some(2 * second));
+    assert_eq!(pauses.remaining(address, 11 * second, 12 * second), None);
+    assert_eq!(pauses.remaining(address, Duration::ZERO, 14 * second), None);
+}
+
+#[test]
+fn endpoints_at_an_address_are_those_whose_last_address_it_is() {
+    let mut endpoints = EndpointTable::default();
+    let at = |port: u16| EndpointLocation { address: ([127, 0, 0, 1], port).into(), max_batch: 1 };
+    let (moved, stayed) = (endpoints.id_for_name("moved"), endpoints.id_for_name("stayed"));
+    endpoints.set_location(moved, at(1));
+    endpoints.set_location(stayed, at(1));
+    endpoints.set_location(moved, at(2));
+    assert_eq!(endpoints.endpoints_at(at(1).address), [stayed]);
+    assert_eq!(endpoints.endpoints_at(at(2).address), [moved]);
+}
--- a/crates/protocol/src/list/entry.rs
+++ b/crates/protocol/src/list/entry.rs
@@ -28,6 +28,8 @@
     /// Machine type of the endpoint, which is the name of an endpoint kind in the settings; empty if not
     /// given.
     pub kind: String,
+    /// Unix time at which the endpoint last started, in milliseconds; 0 if it was long ago or is not given.
+    pub started_at_unix_ms: u64,
 }
 
 /// The wire format of a [`ListEntry`].
@@ -47,6 +49,8 @@
     #[serde(borrow)]
     lifecycle: Cow<'a, str>,
     weight: Option<f64>,
+    #[serde(rename = "startedAtMs")]
+    started_at_unix_ms: Option<f64>,
 }
 
 impl TryFrom<WireEntry<'_>> for ListEntry {
@@ -71,6 +75,8 @@
             weight: wire.weight,
             zone: wire.zone,
             kind: wire.kind,
+            // The conversion saturates: a number below zero becomes zero.
+            started_at_unix_ms: wire.started_at_unix_ms.unwrap_or_default() as u64,
         })
     }
 }
--- a/crates/protocol/tests/list_decoder.rs
+++ b/crates/protocol/tests/list_decoder.rs
@@ -104,6 +104,7 @@
         weight: None,
         zone: String::new(),
         kind: String::new(),
+        started_at_unix_ms: 0,
     };
     let expected =
         vec![ListEvent::PartStarted { generation: 7, is_full_list: true }, ListEvent::EndpointUpdated(entry)];
--- a/src/policy/retry_after.rs
+++ b/src/policy/retry_after.rs
@@ -15,6 +15,17 @@
         }
     }
 
+    /// Records the rest of a Retry-After that an endpoint set before the endpoint list named it: a request to the
+    /// former endpoint at its address had reached it.
+    pub fn retry_after_inherited(&mut self, now: Duration, endpoint: EndpointId, wait: Duration) {
+        let known = self.endpoints.get(endpoint);
+        if let Some(scope) = known.map(|known| self.endpoints.scope_of(endpoint, known)) {
+            // No request was sent to the endpoint yet, so it may have no circuit.
+            self.circuits.get_or_insert(scope);
+            self.apply_retry_after(now, scope, wait);
+        }
+    }
+
     /// Returns the endpoints to which a Retry-After of this endpoint applies.
     #[must_use]
     pub fn endpoints_sharing_circuit(&self, id: EndpointId) -> Vec<EndpointId> {
--- a/tests/policy/retry_after.rs
+++ b/tests/policy/retry_after.rs
@@ -103,3 +103,15 @@
         [HostCommand::StartAttempt(second)] if second.endpoint != first.endpoint
     ));
 }
+
+/// Guards against a request within a Retry-After of an endpoint that is new in the list and has no circuit.
+#[test]
+fn inherited_retry_after_delays_the_first_request_to_an_endpoint() {
+    for kind in [OWN_CIRCUIT, SHARED_CIRCUIT] {
+        let mut test = PolicyTest::with_endpoints(&[listed(1, 9, kind)]);
+        test.policy.retry_after_inherited(test.now, EndpointId(1), ms(700));
+        test.submit("a", IDEMPOTENT, 9);
+        assert!(test.started_after(ms(690)).is_empty(), "{kind}");
+        assert_eq!(test.started_after(ms(10)), ["a"], "{kind}");
+    }
+}
