Comments: reasons that the rewording had dropped

Tuning stories stay in design.md.

Measured: no line of code differs (read in the diff); cargo check passes.

--- a/crates/forwarder/src/connections/pool.rs
+++ b/crates/forwarder/src/connections/pool.rs
@@ -162,7 +162,8 @@
 
     /// Records that the endpoint accepts no request before `until` (`Retry-After`).
     ///
-    /// The restriction also applies to requests that are still waiting for their connection.
+    /// The restriction also applies to requests that are still waiting for their connection, for up to a second
+    /// if the endpoint accepts few connections or can't be reached.
     pub fn set_retry_after(&self, endpoint: EndpointId, until: Instant) {
         lock(&self.send_restrictions).set_retry_after(endpoint, until);
     }
--- a/crates/forwarder/src/ingress/clients.rs
+++ b/crates/forwarder/src/ingress/clients.rs
@@ -57,7 +57,8 @@
 
     /// Evicts the first connection in the order of `EvictionPriority`. Returns whether there was one.
     ///
-    /// Connections without a request come first, so that they can't displace connections of active clients.
+    /// Connections without a request come first, so that they can't displace connections of active clients. The
+    /// client of an idle connection can use another one for its next request.
     pub(super) fn evict_one(&self) -> bool {
         let mut open = self.lock_open();
         let candidates = open.iter().filter_map(|(number, connection)| {
--- a/crates/forwarder/src/watch_schedule.rs
+++ b/crates/forwarder/src/watch_schedule.rs
@@ -3,12 +3,13 @@
 //!
 //! A change must be received at most [`WatchTimings::max_staleness`] after discovery has it. A request
 //! therefore starts at most that time, less [`WatchTimings::max_response_time`], after the last received line
-//! and after the start of the previous request. A `Retry-After` header does not extend this deadline, and is
-//! limited to half of the request interval.
+//! and after the start of the previous request. A `Retry-After` header does not extend this deadline, because
+//! only a request in flight may wait longer, and is limited to half of the request interval.
 //!
 //! The first failures of a connection are followed by quick retries. Afterwards each forwarder sends one
 //! request per interval, at its own point in the interval, so that the requests of a fleet are spread and do
-//! not overload discovery.
+//! not overload discovery. Refused requests use up what discovery can answer: a fleet that asks more often than
+//! the deadline requires, or all at once, keeps it overloaded.
 
 use std::time::Duration;
 
--- a/crates/wal/src/compaction_plan.rs
+++ b/crates/wal/src/compaction_plan.rs
@@ -21,7 +21,7 @@
 pub const DISK_BLOCK_BYTES: u64 = 512;
 /// Bytes copied for each byte appended during compaction; see the invariants of the module.
 pub const COPIED_PER_APPENDED_BYTE: u64 = 3;
-/// Minimum copy limit of a step, so that compaction makes progress after short appends.
+/// Minimum copy limit of a step. With less, a compaction behind short appends would never end.
 pub const MIN_STEP_BYTES: u64 = 4 * 1024;
 /// Maximum copy limit of a step, which bounds the delay of the append that runs the step.
 pub const MAX_STEP_BYTES: u64 = 256 * 1024;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -96,7 +96,8 @@
             return Admission::Wait(Some(circuit.retry_after_until()));
         }
         // Pacing limits the requests to a destination that rejects them. Rejected requests and half-open
-        // trials may count against its rate limit too.
+        // trials may count against its rate limit too. Full queues are covered as well. The circuit stays slow
+        // for some completions after a limit was met only once.
         let after_last = circuit.last_sent() + duration_from_seconds(circuit.pacing().interval_seconds());
         let paced_until =
             if self.parameters.has_sparse_traffic { circuit.pacing().postponed_until() } else { after_last };
@@ -119,7 +120,8 @@
     /// threshold.
     ///
     /// Prevents an unresponsive destination from using up the limit of requests in flight before its first
-    /// timeout. A single request may take long, so at least two must be in flight.
+    /// timeout. A single request may take long, so at least two must be in flight. A destination that stalls or
+    /// slows down is covered too: its own responses then pace its requests.
     fn is_unresponsive(&self, circuit: &CircuitBreaker, now: Duration) -> bool {
         if circuit.in_flight().len() < 2 || circuit.requests_since(circuit.last_completion()) == 0 {
             return false;
--- a/src/policy/capacity_share.rs
+++ b/src/policy/capacity_share.rs
@@ -43,7 +43,8 @@
             .as_secs_f64();
         let endpoints = self.endpoints.active_endpoints(endpoint.destination).count().max(1) as f64;
         let observed_rate = traffic.arrivals() as f64 / elapsed / endpoints;
-        // The listed rate is the minimum, because a rate observed from few messages is inaccurate.
+        // The listed rate is the minimum, because a rate observed from few messages is inaccurate. A listed rate
+        // may be half too high, but the capacity is higher still.
         let endpoints_in_scope = if self.endpoints.has_own_circuit(endpoint) { 1.0 } else { endpoints };
         self.listed_rate(endpoint).map_or(observed_rate, |listed_rate| {
             observed_rate.max(listed_rate / self.parameters.forwarders / endpoints_in_scope)
--- a/src/policy/circuit_breaker.rs
+++ b/src/policy/circuit_breaker.rs
@@ -1,5 +1,6 @@
 //! Circuit breaker: a circuit opens after several failures within a window, and closes after a successful
-//! trial. The state is derived from the times of the failures and the end of the open period.
+//! trial. The state is derived from the times of the failures and the end of the open period. The rules are
+//! those of the paper that `docs/design.md` cites.
 
 use std::time::Duration;
 
@@ -62,7 +63,8 @@
     }
 
     /// Closes the circuit and removes its failures once the failure window and the open period have ended,
-    /// because they no longer affect a decision.
+    /// because they no longer affect a decision. With one recovery delay, that is the longer of delay and window
+    /// after the last change; a Retry-After may make it longer.
     pub(super) fn reset_if_outdated(&mut self, now: Duration, parameters: &PolicyParameters) {
         let relevant_until = self
             .open_until()
--- a/src/policy/endpoint_selection.rs
+++ b/src/policy/endpoint_selection.rs
@@ -93,7 +93,7 @@
     /// Excludes endpoints that are in backoff after failures of this class, unless all are.
     ///
     /// Avoids an endpoint that fails all messages, or those of one class, while other completions keep the
-    /// circuit closed.
+    /// circuit closed. A single lost request is enough to exclude an endpoint for its backoff.
     pub(super) fn exclude_failing_endpoints(
         &self,
         eligible: &mut Vec<AdmittedEndpoint>,
@@ -118,8 +118,8 @@
         class: usize,
         now: Duration,
     ) -> AdmittedEndpoint {
-        // Endpoints with circuits of their own are drawn by their listed rates: a forwarder that sends little
-        // to each cannot observe how much it accepts.
+        // Departure from the design: endpoints with circuits of their own are drawn by their listed rates. A
+        // forwarder that sends little to each has no other sign that one accepts a third of what another does.
         let rate = |eligible: &AdmittedEndpoint| {
             let endpoint = &self.endpoints[eligible.endpoint];
             self.listed_rate(endpoint).filter(|_| self.endpoints.has_own_circuit(endpoint)).unwrap_or(1.0)
--- a/src/policy/expiry.rs
+++ b/src/policy/expiry.rs
@@ -41,7 +41,8 @@
     }
 
     /// Gives a final answer to queued messages that can no longer be completed: too little time is left for a
-    /// response, the Retry-After of every endpoint ends too late, or an idempotency key has expired.
+    /// response, the Retry-After of every endpoint ends too late, or an idempotency key has expired. Before the
+    /// deadline a message can still be rejected, which says that submitting it again is harmless.
     pub(super) fn expire_messages(
         &mut self,
         now: Duration,
--- a/src/policy/outcomes.rs
+++ b/src/policy/outcomes.rs
@@ -75,7 +75,8 @@
     /// Counts an error response to a message. Returns whether the error is attributed to the message instead
     /// of the endpoint, which applies from the second error on.
     ///
-    /// Prevents a message that always gets an error from keeping a circuit open.
+    /// Prevents a message that always gets an error from keeping a circuit open. An outage with error responses
+    /// is noticed later where a single message is all that is sent.
     fn record_message_error(&mut self, attempt: &Attempt, outcome: AttemptOutcome) -> bool {
         if outcome != AttemptOutcome::Error {
             return false;
@@ -132,7 +133,7 @@
     /// Pauses the circuit for a short time.
     ///
     /// Prevents a message from using up its attempts at once when each ends without being sent, for example
-    /// while the write-ahead log fails.
+    /// while the write-ahead log fails, or while a cancelled request or connection still counts against a limit.
     fn record_not_sent(&mut self, attempt: &Attempt, now: Duration) {
         let pause = self.parameters.recovery_delay / NOT_SENT_PAUSE_DIVISOR;
         let Some(circuit) = self.circuits.get_mut(attempt.scope) else { return };
--- a/src/policy/pacing.rs
+++ b/src/policy/pacing.rs
@@ -32,7 +32,9 @@
     ///
     /// Prevents bursts at many forwarders from exceeding the rate limit of an endpoint that has a listed rate
     /// but reports no limit. Each slot admits one request; the slots of each forwarder have a random offset.
-    /// Unused slots do not accumulate.
+    /// Unused slots do not accumulate. Without slots a burst can exceed a limit that rejected requests use up as
+    /// well, so that nothing passes for seconds. Where the traffic is far from the limit, the wait for a slot
+    /// costs part of a latency objective.
     pub(super) fn next_time_slot(
         &self,
         scope: CircuitScope,
--- a/src/policy/rejection.rs
+++ b/src/policy/rejection.rs
@@ -110,7 +110,8 @@
     }
 
     /// Returns whether a rejection indicates an outage: its Retry-After is long, or a circuit that is not
-    /// closed has completed no request for some time.
+    /// closed has completed no request for some time. Under a rate limit some requests pass, or the Retry-After
+    /// is short.
     fn shows_outage(
         &self,
         now: Duration,
--- a/src/policy/scheduling.rs
+++ b/src/policy/scheduling.rs
@@ -10,7 +10,8 @@
 use crate::state::EarliestTime;
 
 /// Minimum wait by which destinations are compared, as a share of the latency objective; prevents a division
-/// by zero. A destination with a longer wait gets a larger share of the requests in flight.
+/// by zero. A destination with a longer wait gets a larger share of the requests in flight. A slow destination
+/// must not get all of them, and others fill their batches meanwhile.
 const MIN_RELATIVE_WAIT: f64 = 0.1;
 /// Minimum latency objective, in seconds, that waits are compared with; prevents a division by zero.
 const MIN_OBJECTIVE_SECONDS: f64 = 0.001;
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -34,7 +34,8 @@
     /// Returns the load that slow start allows on the endpoint now, in requests with one message.
     ///
     /// Prevents overload of an endpoint that recently failed requests or was in an outage, and may still be
-    /// warming up.
+    /// warming up. An endpoint that fails part of its requests is covered too. One that was never down is slowed
+    /// for some seconds after a timeout.
     pub(super) fn slow_start_budget(
         &self,
         scope: CircuitScope,
--- a/src/policy/stragglers.rs
+++ b/src/policy/stragglers.rs
@@ -41,7 +41,8 @@
     /// `wake`.
     ///
     /// Prevents requests to unresponsive or very slow destinations from using up the limit of requests in
-    /// flight. Non-idempotent messages are allowed more time.
+    /// flight. Non-idempotent messages are allowed more time. Work that would still have been answered may be
+    /// repeated.
     pub(super) fn cancel_straggler(
         &mut self,
         now: Duration,
--- a/src/policy/submission.rs
+++ b/src/policy/submission.rs
@@ -38,7 +38,8 @@
     }
 
     /// Counts a message against its tenant's quota, and returns whether the quota is exceeded. Each forwarder
-    /// applies the whole quota, because the spread of the traffic over forwarders is not known.
+    /// applies the whole quota, because the spread of the traffic over forwarders is not known: what exceeds the
+    /// quota at one forwarder exceeds it everywhere.
     fn spend_quota(&mut self, tenant: usize, now: Duration) -> bool {
         let quota = self.parameters.tenants[tenant].messages_per_second;
         !self.tenant_token_buckets.try_take_token(tenant, quota, quota.max(1.0) * QUOTA_BURST_SECONDS, now)
--- a/src/state/timer.rs
+++ b/src/state/timer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-/// Minimum duration of a timer, and maximum time by which a host's timer may fire early.
+/// Minimum duration of a timer, and maximum time by which a host's timer may fire early because it rounds down.
 pub(crate) const MIN_TIMER: Duration = Duration::from_millis(1);
 
 /// Pending timer of the host, if any.
