An unfinished list of the former discovery confirms nothing after a move

What callers could see: a message sent to another destination's endpoint after SIGHUP, where the former discovery had named the entry in a full list that it did not finish. Found in reading again.

Cause: a move of discovery reported no lost watch, so that the part that it had begun stayed in progress, and what it had named counted as confirmed.

Change: the event loop aborts the part when discovery moves. The two places that reported a move are one.

In the tests of the two faults, steps that stood twice are functions; assertions are the same.

--- a/crates/forwarder/src/discovery.rs
+++ b/crates/forwarder/src/discovery.rs
@@ -41,27 +41,26 @@
             timings: schedule.timings(),
         };
         let loss = tokio::select! {
-            loss = request.run(&mut progress, &event_loop) => loss,
-            () = address_changed(&mut address) => {
-                schedule.discovery_address_changed(start.elapsed());
-                if event_loop.send(Event::DiscoveryMoved).await.is_err() {
-                    return;
-                }
-                continue;
+            loss = request.run(&mut progress, &event_loop) => Some(loss),
+            () = address_changed(&mut address) => None,
+        };
+        let has_moved = if let Some(loss) = loss {
+            let next_request = start + schedule.watch_lost(start.elapsed(), &loss, progress.received);
+            log_loss(&mut log_throttle, &loss, next_request);
+            if event_loop.send(Event::WatchLost).await.is_err() {
+                return;
+            }
+            tokio::select! {
+                () = sleep_until(next_request) => false,
+                () = address_changed(&mut address) => true,
             }
+        } else {
+            true
         };
-        let next_request = start + schedule.watch_lost(start.elapsed(), &loss, progress.received);
-        log_loss(&mut log_throttle, &loss, next_request);
-        if event_loop.send(Event::WatchLost).await.is_err() {
-            return;
-        }
-        tokio::select! {
-            () = sleep_until(next_request) => {}
-            () = address_changed(&mut address) => {
-                schedule.discovery_address_changed(start.elapsed());
-                if event_loop.send(Event::DiscoveryMoved).await.is_err() {
-                    return;
-                }
+        if has_moved {
+            schedule.discovery_address_changed(start.elapsed());
+            if event_loop.send(Event::DiscoveryMoved).await.is_err() {
+                return;
             }
         }
     }
--- a/crates/forwarder/src/event_loop/endpoint_list.rs
+++ b/crates/forwarder/src/event_loop/endpoint_list.rs
@@ -65,6 +65,13 @@
         *self.state.list_progress_mut() = Some(progress);
     }
 
+    /// Handles a change of discovery's address. The former discovery does not finish a part of the list that it
+    /// has begun, and what the part has named is not confirmed.
+    pub(super) fn discovery_moved(&mut self) {
+        self.abort_endpoint_list();
+        self.await_list_confirmation();
+    }
+
     /// Lets the policy withhold requests after a start or a move of discovery, until discovery confirms the
     /// list.
     pub(super) fn await_list_confirmation(&mut self) {
--- a/crates/forwarder/src/event_loop/run.rs
+++ b/crates/forwarder/src/event_loop/run.rs
@@ -104,7 +104,7 @@
             Event::ListEvents(events) => self.apply_list_events(events),
             Event::ListMalformed(list) => self.reject_malformed_list(&list),
             Event::WatchLost => self.discovery_failed(),
-            Event::DiscoveryMoved => self.await_list_confirmation(),
+            Event::DiscoveryMoved => self.discovery_moved(),
             Event::NoticesAcknowledged(ids) => self.state.acknowledge_notices(&ids),
             Event::ShutdownRequested(deadline) => self.begin_shutdown(deadline),
             Event::ClientsDisconnected => self.shutdown.clients_disconnected = true,
--- a/crates/forwarder/tests/loopback/retry_after.rs
+++ b/crates/forwarder/tests/loopback/retry_after.rs
@@ -1,6 +1,6 @@
 //! Requests that are not sent because the endpoint sets a `Retry-After` or starts draining.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use reeddock::{EndpointState, MessageId};
 use reeddock_forwarder::connections::ConnectionPool;
@@ -134,7 +134,7 @@
     Instant::now()
 }
 
-const RETRY_AFTER: std::time::Duration = ms(1500);
+const RETRY_AFTER: Duration = ms(1500);
 const REJECTED_WITH_RETRY_AFTER: &str = "HTTP/1.1 429 x\r\nretry-after: 1.5\r\ncontent-length: 0\r\n\r\n";
 
 /// Returns a test bed whose endpoint rejects the message `rejected` with a Retry-After of 1.5 s.
@@ -146,20 +146,27 @@
     .await
 }
 
+/// Returns the time from a rejection with a Retry-After to the first request to the endpoint that takes over the
+/// address of the endpoint of the rejected message.
+async fn time_from_rejection_to_successor(started_at_unix_ms: u128) -> Duration {
+    let test_bed = test_bed_with_retry_after().await;
+    let forwarder = test_bed.start_forwarder().await;
+    assert_eq!(forwarder.submit("rejected", "note").await, 202);
+    test_bed.endpoint.wait_for_message("rejected").await;
+    let rejected_at = Instant::now();
+    test_bed.publish_list_update(takeover(&test_bed, started_at_unix_ms));
+    let delivered_at = deliver_to_successor(&test_bed, &forwarder).await;
+    forwarder.kill();
+    delivered_at - rejected_at
+}
+
 /// Guards against a request within a Retry-After: the process at an address sets it for a request that was sent
 /// under the name of its predecessor, because the list was late.
 #[test]
 fn retry_after_of_an_address_applies_to_the_endpoint_that_is_listed_there_later() {
     run_test(async {
-        let test_bed = test_bed_with_retry_after().await;
-        let forwarder = test_bed.start_forwarder().await;
-        assert_eq!(forwarder.submit("rejected", "note").await, 202);
-        test_bed.endpoint.wait_for_message("rejected").await;
-        let rejected_at = Instant::now();
-        test_bed.publish_list_update(takeover(&test_bed, 0));
-        let delivered_at = deliver_to_successor(&test_bed, &forwarder).await;
-        assert!(delivered_at - rejected_at >= RETRY_AFTER - ms(20), "{:?}", delivered_at - rejected_at);
-        forwarder.kill();
+        let elapsed = time_from_rejection_to_successor(0).await;
+        assert!(elapsed >= RETRY_AFTER - ms(20), "{elapsed:?}");
     });
 }
 
@@ -167,16 +174,9 @@
 #[test]
 fn retry_after_does_not_apply_to_an_endpoint_that_started_after_it() {
     run_test(async {
-        let test_bed = test_bed_with_retry_after().await;
-        let forwarder = test_bed.start_forwarder().await;
-        assert_eq!(forwarder.submit("rejected", "note").await, 202);
-        test_bed.endpoint.wait_for_message("rejected").await;
-        let rejected_at = Instant::now();
-        let in_a_minute = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() + 60_000;
-        test_bed.publish_list_update(takeover(&test_bed, in_a_minute));
-        let delivered_at = deliver_to_successor(&test_bed, &forwarder).await;
-        assert!(delivered_at - rejected_at < RETRY_AFTER, "{:?}", delivered_at - rejected_at);
-        forwarder.kill();
+        let in_a_minute = SystemTime::now().duration_since(UNIX_EPOCH).unwrap() + ms(60_000);
+        let elapsed = time_from_rejection_to_successor(in_a_minute.as_millis()).await;
+        assert!(elapsed < RETRY_AFTER, "{elapsed:?}");
     });
 }
 
--- a/crates/forwarder/tests/loopback/unconfirmed_list.rs
+++ b/crates/forwarder/tests/loopback/unconfirmed_list.rs
@@ -7,6 +7,8 @@
 
 /// A destination that none of the submitted messages is for.
 const OTHER_DESTINATION: u64 = 7;
+/// The end of the ids of messages to [`OTHER_DESTINATION`].
+const TO_OTHER: &str = "to-other";
 
 /// An endpoint whose address belongs to [`OTHER_DESTINATION`] by now, and the endpoint that replaces it.
 struct Replacement {
@@ -42,10 +44,12 @@
         endpoint_list(2, false, &[self.test_bed.endpoint_entry("Gone"), other, new])
     }
 
-    /// Waits until the replacement receives a message, and checks that the former address receives nothing.
+    /// Waits until the replacement receives a message, and checks that the former address receives nothing but
+    /// messages to the other destination.
     async fn wait_for_message(&self, id: &str) {
         wait_for(&format!("message {id:?} at the new endpoint"), || {
-            let misdirected = self.test_bed.endpoint.received_ids();
+            let mut misdirected = self.test_bed.endpoint.received_ids();
+            misdirected.retain(|id| !id.ends_with(TO_OTHER));
             assert!(misdirected.is_empty(), "sent to another destination's endpoint: {misdirected:?}");
             self.new_endpoint.received_ids().contains(&id.to_owned()).then_some(())
         })
@@ -88,22 +92,49 @@
     }));
 }
 
+/// Submits a message while discovery has moved and the new discovery has not answered yet.
+async fn check_nothing_is_sent_before_new_discovery_answers(
+    replacement: &Replacement,
+    forwarder: &RunningForwarder,
+) {
+    let discovery = ManualDiscovery::start_for(&replacement.test_bed).await;
+    let mut watch = discovery.next_watch().await;
+    assert_eq!(forwarder.submit("submitted", "order").await, 202);
+    watch.write_line(&replacement.changes()).await;
+    replacement.wait_for_message("submitted").await;
+}
+
 /// Guards against sending by the previous list between a reload of the configuration, which moves discovery,
 /// and the first answer of the new discovery.
 #[test]
 fn nothing_is_sent_between_a_move_of_discovery_and_its_answer() {
     run_test(async {
         let replacement = Replacement::new().await;
-        let test_bed = &replacement.test_bed;
-        let former = ManualDiscovery::start_for(test_bed).await;
-        let forwarder = test_bed.start_forwarder_with_list(replacement.former_list()).await;
+        let former = ManualDiscovery::start_for(&replacement.test_bed).await;
+        let forwarder = replacement.test_bed.start_forwarder_with_list(replacement.former_list()).await;
         let mut former_watch = former.next_watch().await;
         former_watch.write_line("").await;
-        let discovery = ManualDiscovery::start_for(test_bed).await;
-        let mut watch = discovery.next_watch().await;
-        assert_eq!(forwarder.submit("submitted", "order").await, 202);
-        watch.write_line(&replacement.changes()).await;
-        replacement.wait_for_message("submitted").await;
+        check_nothing_is_sent_before_new_discovery_answers(&replacement, &forwarder).await;
+        forwarder.kill();
+    });
+}
+
+/// Guards against the same where the former discovery has named the endpoint in a full list that it did not
+/// finish.
+#[test]
+fn nothing_is_sent_by_an_unfinished_list_after_a_move_of_discovery() {
+    run_test(async {
+        let replacement = Replacement::new().await;
+        let former = ManualDiscovery::start_for(&replacement.test_bed).await;
+        let forwarder = replacement.test_bed.start_forwarder_with_list(replacement.former_list()).await;
+        let mut former_watch = former.next_watch().await;
+        let entry = replacement.test_bed.endpoint_entry("Ready");
+        let unused = list_entry("unused", "127.0.0.1:9".parse().unwrap(), OTHER_DESTINATION, "Ready");
+        let unfinished = format!(r#"{{"generation":2,"reset":true,"instances":[{entry},{unused}"#);
+        former_watch.write(&unfinished).await;
+        // The forwarder has read this once messages for the other destination are accepted.
+        submit_to_other_destination(&forwarder).await;
+        check_nothing_is_sent_before_new_discovery_answers(&replacement, &forwarder).await;
         forwarder.kill();
     });
 }
@@ -122,16 +153,10 @@
         let [other, new] = replacement.new_entries();
         watch.write(&format!("{{\"generation\":2,\"reset\":true,\"instances\":[{other}")).await;
         // The forwarder has read the first part of the list once messages for its destination are accepted.
-        let to_other = submission("to-other", "note", 15.0, "x").replace("dest=3", "dest=7");
-        wait_for_status(&forwarder, &to_other, 202).await;
+        submit_to_other_destination(&forwarder).await;
         assert_eq!(forwarder.submit("submitted", "order").await, 202);
         watch.write(&format!(",{new}]}}\n")).await;
-        wait_for("the message at the new endpoint", || {
-            let misdirected = test_bed.endpoint.count_single_requests("submitted");
-            assert_eq!(misdirected, 0, "sent to another destination's endpoint");
-            replacement.new_endpoint.received_ids().contains(&"submitted".to_owned()).then_some(())
-        })
-        .await;
+        replacement.wait_for_message("submitted").await;
         forwarder.kill();
     });
 }
@@ -150,23 +175,22 @@
         let mut watch = discovery.next_watch().await;
         assert_eq!(watch.after, 1, "expected the changes after the list from before the silence");
         watch.write_line(&replacement.changes()).await;
-        let to_other = submission("to-other", "note", 15.0, "x").replace("dest=3", "dest=7");
-        wait_for_status(&forwarder, &to_other, 202).await;
+        submit_to_other_destination(&forwarder).await;
         assert_eq!(forwarder.submit("submitted", "order").await, 202);
-        replacement.new_endpoint.wait_for_message("submitted").await;
-        assert_eq!(test_bed.endpoint.count_single_requests("submitted"), 0);
+        replacement.wait_for_message("submitted").await;
         forwarder.kill();
     });
 }
 
-/// Submits a message under new ids until the response has this status.
-async fn wait_for_status(forwarder: &RunningForwarder, submission: &str, status: u16) {
+/// Submits messages to the other destination until one is accepted, which shows that its list entry is applied.
+async fn submit_to_other_destination(forwarder: &RunningForwarder) {
+    let to_other = submission(TO_OTHER, "note", 15.0, "x").replace("dest=3", "dest=7");
     for n in 0.. {
-        let submission = submission.replace("X-Call-Id: ", &format!("X-Call-Id: {n}-"));
-        if forwarder.request(&submission).await.status() == status {
+        let submission = to_other.replace(TO_OTHER, &format!("{n}-{TO_OTHER}"));
+        if forwarder.request(&submission).await.status() == 202 {
             return;
         }
-        assert!(n < 10_000, "expected a response with status {status}");
+        assert!(n < 10_000, "expected the list to be applied");
     }
 }
 
