One place applies a Retry-After; state that could be derived is gone

Cause: a second reading of the change. The Retry-After of a rejection was taken apart twice, beside its twin in finish_attempt. ListReader kept a flag that the watch's progress already says. Four tests opened with the same lines.

Change: event_loop/retry_after.rs handles both kinds of Retry-After with one function, and finish_attempt none. The flag is gone. Listing an endpoint looks up no pause while there is none. Replacement:: start_watching serves the four tests; their assertions are the same.

--- a/crates/forwarder/src/address_pauses.rs
+++ b/crates/forwarder/src/address_pauses.rs
@@ -43,6 +43,11 @@
         pause.until.checked_sub(now).filter(|remaining| !remaining.is_zero())
     }
 
+    /// Returns whether no pause is stored.
+    pub fn is_empty(&self) -> bool {
+        self.pauses.is_empty()
+    }
+
     /// Returns the number of addresses whose pauses are stored.
     pub fn count(&self) -> usize {
         self.pauses.len()
--- a/crates/forwarder/src/event_loop/due_work.rs
+++ b/crates/forwarder/src/event_loop/due_work.rs
@@ -8,7 +8,7 @@
 use reeddock_protocol::AttemptResult;
 use reeddock_wal::Record;
 
-use super::commands::{CommandBatch, OutgoingAttempt};
+use super::commands::{AttemptKey, CommandBatch, OutgoingAttempt};
 use super::log_writer::LogWrite;
 use super::EventLoop;
 
@@ -68,7 +68,8 @@
     /// run of due work.
     fn return_unstarted(&mut self, attempts: Vec<OutgoingAttempt>, now: Duration) {
         for attempt in attempts {
-            self.finish_attempt(attempt.message.id, attempt.number, AttemptResult::NotSent, now);
+            let key = AttemptKey { message: attempt.message.id, number: attempt.number };
+            self.finish_attempt(key, AttemptResult::NotSent, now);
         }
     }
 
--- a/crates/forwarder/src/event_loop/retry_after.rs
+++ b/crates/forwarder/src/event_loop/retry_after.rs
@@ -4,31 +4,47 @@
 use std::time::Duration;
 
 use reeddock::EndpointId;
-use reeddock_protocol::ListEntry;
+use reeddock_protocol::{AttemptResult, ListEntry};
 
+use super::commands::AttemptKey;
 use super::EventLoop;
 
 /// Microseconds in a millisecond.
 const MICROS_PER_MILLI: u64 = 1000;
 
 impl EventLoop {
-    /// Postpones requests to an endpoint that are still waiting for a connection, because the policy can't
-    /// postpone them itself.
-    pub(super) fn postpone_requests(&self, endpoint: EndpointId, until: Duration) {
-        for endpoint in self.policy.endpoints_sharing_circuit(endpoint) {
-            self.connections.set_retry_after(endpoint, self.clock.instant_at(until));
-        }
-    }
-
-    /// Records a `Retry-After` for the address that sent it. If the endpoint of the request has lost the address
-    /// meanwhile, the `Retry-After` also applies to the endpoints that have the address now.
-    pub(super) fn record_address_pause(
+    /// Handles a `Retry-After` header from an endpoint that accepted messages.
+    pub(super) fn pause_endpoint(
         &mut self,
         endpoint: EndpointId,
         address: SocketAddr,
         pause: Duration,
         now: Duration,
     ) {
+        self.record_pause(endpoint, address, pause, now);
+        self.policy.retry_after_received(now, endpoint, pause);
+    }
+
+    /// Handles the `Retry-After` of a rejection, if the result of the attempt is one with a `Retry-After`. Must
+    /// be called before the attempt is finished, with which the policy receives the `Retry-After` itself.
+    pub(super) fn pause_after_rejection(
+        &mut self,
+        attempt: &AttemptKey,
+        address: SocketAddr,
+        result: AttemptResult,
+        now: Duration,
+    ) {
+        let AttemptResult::Rejected { retry_after: Some(pause) } = result else { return };
+        if let Some(endpoint) = self.policy.attempt_endpoint(&attempt.message, attempt.number) {
+            self.record_pause(endpoint, address, pause, now);
+        }
+    }
+
+    /// Postpones requests to an endpoint that has set a `Retry-After`, and records the pause for the address
+    /// that sent it. If the endpoint of the request has lost the address meanwhile, the pause also applies to
+    /// the endpoints that have the address now.
+    fn record_pause(&mut self, endpoint: EndpointId, address: SocketAddr, pause: Duration, now: Duration) {
+        self.postpone_requests(endpoint, now + pause);
         self.address_pauses.record(address, pause, now);
         if self.connections.may_send_to(endpoint, address) {
             return;
@@ -40,6 +56,14 @@
         }
     }
 
+    /// Postpones requests to an endpoint that are still waiting for a connection, because the policy can't
+    /// postpone them itself.
+    fn postpone_requests(&self, endpoint: EndpointId, until: Duration) {
+        for endpoint in self.policy.endpoints_sharing_circuit(endpoint) {
+            self.connections.set_retry_after(endpoint, self.clock.instant_at(until));
+        }
+    }
+
     /// Applies the `Retry-After` that the endpoint of a list entry has set before it was listed at an address.
     pub(super) fn inherit_address_pause(
         &mut self,
@@ -47,6 +71,9 @@
         address: SocketAddr,
         entry: &ListEntry,
     ) {
+        if self.address_pauses.is_empty() {
+            return;
+        }
         let now = self.clock.now();
         let started_at_micros = entry.started_at_unix_ms.saturating_mul(MICROS_PER_MILLI);
         let started_at = self.clock.from_unix_micros(started_at_micros);
--- a/crates/forwarder/src/event_loop/run.rs
+++ b/crates/forwarder/src/event_loop/run.rs
@@ -7,6 +7,7 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep_until, Instant};
 
+use super::commands::AttemptKey;
 use super::EventLoop;
 use crate::events::Event;
 
@@ -94,8 +95,9 @@
                 self.submit(submission, received_at, reply, now)
             }
             Event::AttemptFinished { message, number, address, result } => {
-                self.record_rejection_pause(&message, number, address, result, now);
-                self.finish_attempt(message, number, result, now)
+                let attempt = AttemptKey { message, number };
+                self.pause_after_rejection(&attempt, address, result, now);
+                self.finish_attempt(attempt, result, now)
             }
             Event::RetryAfter { endpoint, address, retry_after } => {
                 self.pause_endpoint(endpoint, address, retry_after, now)
--- a/crates/forwarder/src/list_reader.rs
+++ b/crates/forwarder/src/list_reader.rs
@@ -45,8 +45,6 @@
     part_generation: Option<u64>,
     /// Decoded events that were not sent to the event loop yet.
     chunk: Vec<ListEvent>,
-    /// Whether this watch has passed any event to the chunk. Later heartbeats tell the event loop nothing new.
-    any_event: bool,
     progress: &'w mut WatchProgress,
     event_loop: &'w mpsc::Sender<Event>,
 }
@@ -58,7 +56,6 @@
             decoder: ListDecoder::default(),
             part_generation: None,
             chunk: Vec::new(),
-            any_event: false,
             progress,
             event_loop,
         }
@@ -104,11 +101,12 @@
                     return Err(ReadError::Malformed(MalformedList { fault, bytes }));
                 }
             };
+            // The first heartbeat of a watch confirms the list. Later ones tell the event loop nothing new.
+            let is_first_line = self.progress.received == Received::Nothing;
             if matches!(event, ListEvent::PartEnded | ListEvent::Heartbeat) {
                 self.progress.received = Received::Lines;
             }
-            if event != ListEvent::Heartbeat || !self.any_event {
-                self.any_event = true;
+            if event != ListEvent::Heartbeat || is_first_line {
                 self.chunk.push(event);
             }
             if self.chunk.len() >= MAX_LIST_EVENTS_PER_CHUNK {
--- a/crates/forwarder/tests/loopback/retry_after.rs
+++ b/crates/forwarder/tests/loopback/retry_after.rs
@@ -1,4 +1,5 @@
-//! Requests that are not sent because the endpoint sets a `Retry-After` or starts draining.
+//! Requests that are not sent because of a `Retry-After`, because the endpoint starts draining, or because its
+//! address passes to another endpoint.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
--- a/crates/forwarder/tests/loopback/support/surplus_endpoint.rs
+++ b/crates/forwarder/tests/loopback/support/surplus_endpoint.rs
@@ -1,4 +1,4 @@
-//! An endpoint at the end of a slow way that sends a second copy of each connection's first response.
+//! An endpoint behind a slow network that sends a second copy of each connection's first response.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -21,7 +21,7 @@
     pub copy_after: Duration,
 }
 
-/// Bytes on their way to the forwarder.
+/// Bytes in transit to the forwarder.
 struct Delayed {
     arrives_at: Instant,
     text: String,
--- a/crates/forwarder/tests/loopback/surplus_responses.rs
+++ b/crates/forwarder/tests/loopback/surplus_responses.rs
@@ -8,7 +8,7 @@
 
 const UNAVAILABLE: &str = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 const REJECTED: AttemptResult = AttemptResult::Rejected { retry_after: None };
-/// Ways of several lengths, with copies that are still under way when the next request is written.
+/// Networks of several delays, each with a copy that is still in transit when the next request is written.
 const TIMINGS: [SurplusTiming; 4] = [
     SurplusTiming { round_trip: ms(120), copy_after: ms(15) },
     SurplusTiming { round_trip: ms(60), copy_after: ms(10) },
@@ -76,8 +76,8 @@
     ));
 }
 
-/// Guards against a message that is failed without need: noise after a response was taken as the response to
-/// the next request.
+/// Guards against a message that is failed without need: a second copy of a batch response names none of the
+/// messages of the next batch.
 #[test]
 fn second_copy_of_a_batch_response_does_not_fail_the_next_batch() {
     let responses = ["a accepted\r\nb accepted\r\n", "c accepted\r\nd accepted\r\n"]
--- a/crates/forwarder/tests/loopback/unconfirmed_list.rs
+++ b/crates/forwarder/tests/loopback/unconfirmed_list.rs
@@ -24,6 +24,14 @@
         Replacement { test_bed, new_endpoint }
     }
 
+    /// Starts a discovery service, and a forwarder that watches it and has cached the former list.
+    async fn start_watching(&self) -> (ManualDiscovery, ManualWatch, RunningForwarder) {
+        let discovery = ManualDiscovery::start_for(&self.test_bed).await;
+        let forwarder = self.test_bed.start_forwarder_with_list(self.former_list()).await;
+        let watch = discovery.next_watch().await;
+        (discovery, watch, forwarder)
+    }
+
     /// Returns the list that has the endpoint at its former address, as of generation 1.
     fn former_list(&self) -> String {
         endpoint_list(1, true, &[self.test_bed.endpoint_entry("Ready")])
@@ -110,9 +118,7 @@
 fn nothing_is_sent_between_a_move_of_discovery_and_its_answer() {
     run_test(async {
         let replacement = Replacement::new().await;
-        let former = ManualDiscovery::start_for(&replacement.test_bed).await;
-        let forwarder = replacement.test_bed.start_forwarder_with_list(replacement.former_list()).await;
-        let mut former_watch = former.next_watch().await;
+        let (_former, mut former_watch, forwarder) = replacement.start_watching().await;
         former_watch.write_line("").await;
         check_nothing_is_sent_before_new_discovery_answers(&replacement, &forwarder).await;
         forwarder.kill();
@@ -125,9 +131,7 @@
 fn nothing_is_sent_by_an_unfinished_list_after_a_move_of_discovery() {
     run_test(async {
         let replacement = Replacement::new().await;
-        let former = ManualDiscovery::start_for(&replacement.test_bed).await;
-        let forwarder = replacement.test_bed.start_forwarder_with_list(replacement.former_list()).await;
-        let mut former_watch = former.next_watch().await;
+        let (_former, mut former_watch, forwarder) = replacement.start_watching().await;
         let entry = replacement.test_bed.endpoint_entry("Ready");
         let unused = list_entry("unused", "127.0.0.1:9".parse().unwrap(), OTHER_DESTINATION, "Ready");
         let unfinished = format!(r#"{{"generation":2,"reset":true,"instances":[{entry},{unused}"#);
@@ -145,10 +149,7 @@
 fn endpoint_that_an_incomplete_full_list_has_not_named_receives_nothing() {
     run_test(async {
         let replacement = Replacement::new().await;
-        let test_bed = &replacement.test_bed;
-        let discovery = ManualDiscovery::start_for(test_bed).await;
-        let forwarder = test_bed.start_forwarder_with_list(replacement.former_list()).await;
-        let mut watch = discovery.next_watch().await;
+        let (_discovery, mut watch, forwarder) = replacement.start_watching().await;
         watch.write_line("").await;
         let [other, new] = replacement.new_entries();
         watch.write(&format!("{{\"generation\":2,\"reset\":true,\"instances\":[{other}")).await;
@@ -167,10 +168,7 @@
 fn nothing_is_sent_to_a_former_address_after_a_silent_watch_is_reopened() {
     run_test(async {
         let replacement = Replacement::new().await;
-        let test_bed = &replacement.test_bed;
-        let discovery = ManualDiscovery::start_for(test_bed).await;
-        let forwarder = test_bed.start_forwarder_with_list(replacement.former_list()).await;
-        let mut silent_watch = discovery.next_watch().await;
+        let (discovery, mut silent_watch, forwarder) = replacement.start_watching().await;
         silent_watch.write_line("").await;
         let mut watch = discovery.next_watch().await;
         assert_eq!(watch.after, 1, "expected the changes after the list from before the silence");
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -96,8 +96,8 @@
             return Admission::Wait(Some(circuit.retry_after_until()));
         }
         // Pacing limits the requests to a destination that rejects them. Rejected requests and half-open
-        // trials may count against its rate limit too. Full queues are covered as well. The circuit stays slow
-        // for some completions after a limit was met only once.
+        // trials may count against its rate limit too. Full queues are covered as well. After a limit was met
+        // only once, the circuit stays slow for some completions.
         let after_last = circuit.last_sent() + duration_from_seconds(circuit.pacing().interval_seconds());
         let paced_until =
             if self.parameters.has_sparse_traffic { circuit.pacing().postponed_until() } else { after_last };
