A shorter pause of an address is kept beside an older, longer one

What callers could see: a request within a Retry-After, where a process that took over an address sets a shorter one than its predecessor did.

Cause: AddressPauses kept one pause for each address, the one that ends last. It doesn't bind an endpoint that started after it, and the shorter one that does was dropped.

Change: an address keeps each pause that ends before those received earlier; a later end removes them. Ended ones go as before.

--- a/crates/forwarder/src/address_pauses.rs
+++ b/crates/forwarder/src/address_pauses.rs
@@ -21,26 +21,29 @@
 /// the address's former endpoint reaches it, because the list is late.
 #[derive(Default)]
 pub struct AddressPauses {
-    pauses: BTreeMap<SocketAddr, Pause>,
+    /// The pauses of each address in the order of their receipt. Each ends before the one that was received
+    /// before it, as a later end makes earlier pauses irrelevant.
+    pauses: BTreeMap<SocketAddr, Vec<Pause>>,
     next_cleanup: Duration,
 }
 
 impl AddressPauses {
-    /// Records a `Retry-After` that was received at `now`. A later end from an earlier call remains in effect.
+    /// Records a `Retry-After` that was received at `now`. Earlier pauses of the address that end later remain in
+    /// effect.
     pub fn record(&mut self, address: SocketAddr, retry_after: Duration, now: Duration) {
         self.remove_expired(now);
-        let new = Pause { received_at: now, until: now + retry_after };
-        let pause = self.pauses.entry(address).or_insert(new);
-        if pause.until < new.until {
-            *pause = new;
-        }
+        let until = now + retry_after;
+        let pauses = self.pauses.entry(address).or_default();
+        pauses.retain(|earlier| until < earlier.until);
+        pauses.push(Pause { received_at: now, until });
     }
 
-    /// Returns the rest of the pause that an endpoint has set which started at `started_at`. `None` if there
-    /// is none.
+    /// Returns the rest of the longest pause that an endpoint can have set which started at `started_at`. `None`
+    /// if there is none.
     pub fn remaining(&self, address: SocketAddr, started_at: Duration, now: Duration) -> Option<Duration> {
-        let pause = self.pauses.get(&address).filter(|pause| started_at <= pause.received_at)?;
-        pause.until.checked_sub(now).filter(|remaining| !remaining.is_zero())
+        let pauses = self.pauses.get(&address)?;
+        let longest = pauses.iter().find(|pause| started_at <= pause.received_at)?;
+        longest.until.checked_sub(now).filter(|remaining| !remaining.is_zero())
     }
 
     /// Returns whether no pause is stored.
@@ -57,7 +60,10 @@
         if now < self.next_cleanup {
             return;
         }
-        self.pauses.retain(|_, pause| now < pause.until);
+        self.pauses.retain(|_, pauses| {
+            pauses.retain(|pause| now < pause.until);
+            !pauses.is_empty()
+        });
         self.next_cleanup = now + CLEANUP_INTERVAL;
     }
 }
--- a/crates/forwarder/tests/units.rs
+++ b/crates/forwarder/tests/units.rs
@@ -215,6 +215,19 @@
     assert_eq!(pauses.remaining(address, Duration::ZERO, 14 * second), None);
 }
 
+/// Guards against a request within a Retry-After: the process that has taken over the address sets a shorter one
+/// than its predecessor did.
+#[test]
+fn shorter_pause_binds_an_endpoint_that_started_after_a_longer_one() {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let second = Duration::from_secs(1);
+    let mut pauses = AddressPauses::default();
+    pauses.record(address, 10 * second, 10 * second);
+    pauses.record(address, 3 * second, 13 * second);
+    assert_eq!(pauses.remaining(address, 12 * second, 14 * second), Some(2 * second));
+    assert_eq!(pauses.remaining(address, 9 * second, 14 * second), Some(6 * second));
+}
+
 #[test]
 fn endpoints_at_an_address_are_those_whose_last_address_it_is() {
     let mut endpoints = EndpointTable::default();
