Test of a Retry-After from before an endpoint's start: fixed order

It published the new list once the endpoint had the request, not once the forwarder had its response. Where both come within one tick the list is applied first, and a response after it applies to the successor, as the test beside it wants. The forwarder is right, the test was not.

Change: the test waits until the rejection is recorded before it publishes the list. Its bound and its assertion are the same. The wait stood in the test beside it and is a function now.

--- a/crates/forwarder/tests/loopback/retry_after.rs
+++ b/crates/forwarder/tests/loopback/retry_after.rs
@@ -147,6 +147,16 @@
     .await
 }
 
+/// Waits until the forwarder has recorded the rejection of the message `rejected`.
+async fn wait_until_rejected(test_bed: &TestBed) {
+    let attempt_finished = || {
+        let index = inspect(test_bed.state_folder()).unwrap().index;
+        let rejected = index.get(&MessageId("rejected".into())).cloned();
+        rejected.is_none_or(|pending| pending.attempts[0].state.proves_not_executed()).then_some(())
+    };
+    wait_for("the result of the rejected attempt", attempt_finished).await;
+}
+
 /// Returns the time from a rejection with a Retry-After to the first request to the endpoint that takes over the
 /// address of the endpoint of the rejected message.
 async fn time_from_rejection_to_successor(started_at_unix_ms: u128) -> Duration {
@@ -155,6 +165,8 @@
     assert_eq!(forwarder.submit("rejected", "note").await, 202);
     test_bed.endpoint.wait_for_message("rejected").await;
     let rejected_at = Instant::now();
+    // A response after the change would apply to the successor, whenever it started.
+    wait_until_rejected(&test_bed).await;
     test_bed.publish_list_update(takeover(&test_bed, started_at_unix_ms));
     let delivered_at = deliver_to_successor(&test_bed, &forwarder).await;
     forwarder.kill();
@@ -204,12 +216,7 @@
         under_new_name.write_all(OK_RESPONSE.as_bytes()).await.unwrap();
         under_former_name.write_all(REJECTED_WITH_RETRY_AFTER.as_bytes()).await.unwrap();
         let rejected_at = Instant::now();
-        let attempt_finished = || {
-            let index = inspect(test_bed.state_folder()).unwrap().index;
-            let rejected = index.get(&MessageId("rejected".into())).cloned();
-            rejected.is_none_or(|pending| pending.attempts[0].state.proves_not_executed()).then_some(())
-        };
-        wait_for("the result of the rejected attempt", attempt_finished).await;
+        wait_until_rejected(&test_bed).await;
         assert_eq!(forwarder.request(&to_successor("after")).await.status(), 202);
         let next_request = async {
             tokio::select! {
