The rest of a response whose result is known is discarded, not kept

Half of its partners' answers were 200 and endless, in pieces of 64 bytes; they had brought 3.0 MB. All messages that it held waited for its restart.

Cause: after a 200 for one message, `read_remainder` collected the rest of the body under a limit of 128 KiB. Each frame of a body shares the read buffer of its connection, 8 KiB, so that a frame of 64 bytes keeps 8 KiB. The limit counted the length of what was held, not its capacity.

Change: `discard_body` reads the rest and drops each frame. The limit in bytes, the time limit and the reuse of a connection whose response ends stay as they were.

--- a/crates/daemon/tests/support/wait.rs
+++ b/crates/daemon/tests/support/wait.rs
@@ -3,7 +3,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 pub const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Polls `observe` until it returns a value; panics after [`WAIT_TIMEOUT`].
--- a/crates/forwarder/src/request_sender/mod.rs
+++ b/crates/forwarder/src/request_sender/mod.rs
@@ -3,11 +3,13 @@
 //! | module | purpose |
 //! | --- | --- |
 //! | `request` | requests and their results |
+//! | `response_body` | reads response bodies in bounded memory |
 //! | `send_state` | tracks which messages of a batch are sent when its connection is open |
 //! | `sender` | sends a request on a connection and reads its response |
 //! | `supervisor` | applies time limits and cancellations to a request in flight, and reports results |
 
 mod request;
+mod response_body;
 mod send_state;
 mod sender;
 mod supervisor;
--- a/crates/forwarder/src/request_sender/sender.rs
+++ b/crates/forwarder/src/request_sender/sender.rs
@@ -20,6 +20,7 @@
 use tower::Service;
 
 use super::request::{BatchMessage, EndpointRequest, MessageResult, RequestResult};
+use super::response_body::{discard_body, MAX_RESPONSE_BYTES};
 use crate::connections::{lock, Connection, ConnectionPool};
 
 /// How long the rest of a response is read before a known result is returned. A connection whose response
@@ -27,8 +28,6 @@
 const REMAINDER_WAIT_BEFORE_RESULT: Duration = Duration::from_millis(20);
 /// How long the rest of a response is read in the background before the connection is closed.
 const REMAINDER_READ_TIMEOUT: Duration = Duration::from_secs(2);
-/// The maximum number of bytes read from a response body, in case the body has no end.
-const MAX_RESPONSE_BYTES: usize = 2 * protocol::MAX_BODY_BYTES;
 
 /// Sends requests to endpoints. Dropping the future of a request closes its connection and cancels the
 /// request.
@@ -312,7 +311,7 @@
     mut connection: Connection,
     body: Incoming,
 ) {
-    let complete = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.is_ok();
+    let complete = discard_body(body).await.is_ok();
     if complete && connection.ready().await {
         connections.release(endpoint, connection);
     }
