Response bodies are decoded as they come, and no read buffer is kept

The body of a 429, 500 or of a response to a batch was collected until its end or the deadline of its messages, which is seconds, where the rest of a 200 was kept for 2 s.

Cause: `read_body` collected every frame, each with the read buffer that it was received into. Chunks of one byte cost a frame each as well.

Change: `read_body` passes the bytes of a frame on and drops it. A result in the head needs none of them. The results of a batch are decoded piece by piece (`BatchResponseDecoder`): of the body, only the first two words of the current line are kept, at most 129 bytes each. `parse_batch_results`, which wanted the whole body, is gone; its tests run on the decoder with the same assertions, in pieces of each size. The limit of 128 KiB, the early Retry-After and the rule on a truncated last line stay.

Measured, tests of a real process with 64 responses of 400 pieces at 32, 64 and 192 MB, bound half the limit. Tests of the packages protocol and forwarder pass.

The tests of memory have a folder of their own now.

--- /dev/null
+++ b/crates/daemon/tests/memory/forwarder.rs
@@ -0,0 +1,70 @@
+//! A forwarder process whose memory and responses a test observes.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Stdio;
+
+use serde_json::Value;
+
+use crate::deployment::AT_MOST_ONCE;
+use crate::private_memory::private_memory;
+use crate::process::{serve_command, KillOnDrop};
+use crate::temp_folder::TempFolder;
+use crate::wait::wait_for;
+
+/// A running forwarder, killed when dropped.
+pub struct ForwarderProcess {
+    process: KillOnDrop,
+    pub address: SocketAddr,
+    _folder: TempFolder,
+}
+
+impl ForwarderProcess {
+    /// Starts a forwarder with the configuration that `config` returns for its listening address.
+    pub fn start(name: &str, config: impl FnOnce(SocketAddr) -> Value) -> ForwarderProcess {
+        let folder = TempFolder::new(name);
+        // The port was just released, and is not assigned again immediately.
+        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let file = folder.path().join("configuration.json");
+        std::fs::write(&file, config(address).to_string()).unwrap();
+        let spawned = serve_command(&file, folder.path()).stdout(Stdio::null()).stderr(Stdio::null()).spawn();
+        let process = KillOnDrop(spawned.unwrap());
+        let forwarder = ForwarderProcess { process, address, _folder: folder };
+        wait_for("the forwarder to listen", || TcpStream::connect(address).ok());
+        forwarder
+    }
+
+    /// Returns the private memory of the process in bytes.
+    pub fn private_memory(&self) -> u64 {
+        private_memory(&self.process.0)
+    }
+
+    /// Submits messages without bodies on one connection, each given by its id and its destination. All must be
+    /// accepted.
+    pub fn submit_all(&self, messages: impl IntoIterator<Item = (String, u64)>) {
+        let mut stream = TcpStream::connect(self.address).unwrap();
+        let mut responses = BufReader::new(stream.try_clone().unwrap());
+        for (id, destination) in messages {
+            stream.write_all(submission(&id, destination, "").as_bytes()).unwrap();
+            let status_line = read_status_line(&mut responses);
+            assert!(status_line.contains(" 202 "), "message {id}: expected 202, found {status_line}");
+        }
+    }
+}
+
+/// Returns a client's request to deliver a message.
+pub fn submission(id: &str, destination: u64, body: &str) -> String {
+    format!(
+        "POST /api HTTP/1.1\r\nHost: a\r\nX-Call-Id: {id}\r\nX-Call-Class: {AT_MOST_ONCE}\r\nX-Budget: 15\r\n\
+         X-Route-To: dest={destination}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Reads the head of a response without a body, and returns its status line.
+fn read_status_line(stream: &mut impl BufRead) -> String {
+    let mut lines = stream.lines().map_while(Result::ok).take_while(|line| !line.is_empty());
+    let status_line = lines.next().unwrap_or_default();
+    lines.for_each(drop);
+    status_line
+}
--- a/crates/forwarder/src/request_sender/sender.rs
+++ b/crates/forwarder/src/request_sender/sender.rs
@@ -1,7 +1,6 @@
 //! Sends a request on a connection and reads the result of each message from the response.
 
 use std::convert::Infallible;
-use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
@@ -11,16 +10,16 @@
 
 use bytes::Bytes;
 use http::{response, Request, Response};
-use http_body_util::{BodyExt, Collected, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use reeddock::EndpointId;
-use reeddock_protocol::{self as protocol, AttemptResult, BatchResponseBody, BodyEnd, OutgoingMessage};
+use reeddock_protocol::{self as protocol, AttemptResult, BatchResponseDecoder, BodyEnd, OutgoingMessage};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 use tower::Service;
 
 use super::request::{BatchMessage, EndpointRequest, MessageResult, RequestResult};
-use super::response_body::{discard_body, MAX_RESPONSE_BYTES};
+use super::response_body::{discard_body, read_body, IncompleteBody};
 use crate::connections::{lock, Connection, ConnectionPool};
 
 /// How long the rest of a response is read before a known result is returned. A connection whose response
@@ -231,23 +230,19 @@
         }
     }
 
-    /// Reads the body of a response.
+    /// Waits until the body of a response is read.
     ///
     /// If the body is late, the `Retry-After` of the head is reported first, because the wait counts from the
     /// head and no other request may be sent to the endpoint meanwhile.
-    async fn read_body(
-        &self,
-        head: &response::Parts,
-        body: Incoming,
-    ) -> Result<Collected<Bytes>, Box<dyn Error + Send + Sync>> {
-        let mut whole_body = pin!(Limited::new(body, MAX_RESPONSE_BYTES).collect());
-        if let Ok(body) = timeout(REMAINDER_WAIT_BEFORE_RESULT, &mut whole_body).await {
-            return body;
+    async fn wait_for_body<T>(&self, head: &response::Parts, body: impl Future<Output = T>) -> T {
+        let mut body = pin!(body);
+        if let Ok(read) = timeout(REMAINDER_WAIT_BEFORE_RESULT, &mut body).await {
+            return read;
         }
         if let Some(retry_after) = protocol::parse_retry_after(head) {
             self.request.early_retry_after.send_replace(Some(retry_after));
         }
-        whole_body.await
+        body.await
     }
 
     /// Reads a response whose results are in the body, or that is valid only if it is complete.
@@ -258,11 +253,13 @@
         body: Incoming,
         batch: &SentBatch,
     ) -> RequestResult {
-        let Ok(body) = self.read_body(head, body).await else {
+        let mut decoder = BatchResponseDecoder::new(&batch.messages);
+        let body = read_body(body, |bytes| decoder.decode(bytes));
+        if let Err(IncompleteBody) = self.wait_for_body(head, body).await {
             // The `Retry-After` is in the head and is valid even if the body is incomplete.
             let retry_after = protocol::parse_retry_after(head);
             return RequestResult { retry_after, ..batch.same_for_all(AttemptResult::MalformedResponse) };
-        };
+        }
         let end = if connection.ready().await {
             self.connections.release(self.request.endpoint, connection);
             BodyEnd::Confirmed
@@ -272,9 +269,7 @@
         if batch.single_message().is_some() {
             return batch.same_for_all(protocol::parse_attempt_result(head));
         }
-        let body = BatchResponseBody { bytes: &body.to_bytes(), end };
-        let results = protocol::parse_batch_results(head, body, &batch.messages);
-        let sent_results = batch.positions.iter().zip(results);
+        let sent_results = batch.positions.iter().zip(decoder.finish(head, end));
         let results =
             sent_results.map(|(position, result)| MessageResult { position: *position, result }).collect();
         RequestResult { retry_after: protocol::parse_retry_after(head), ..RequestResult::new(results) }
--- a/crates/protocol/src/response.rs
+++ b/crates/protocol/src/response.rs
@@ -1,4 +1,4 @@
-//! Decoding of an endpoint's response into one attempt result for each message of the request.
+//! Decoding of the head of an endpoint's response.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 use reeddock::LoadReport;
 
 use crate::headers::{header_text, parse_seconds, EGRESS_FULL, LOAD_REPORT};
-use crate::{AttemptResult, OutgoingMessage};
+use crate::AttemptResult;
 
 /// Load report field with the unused share of the rate limit, from 0 to 1.
 const REPORT_LEFT: &str = "x0";
@@ -64,71 +64,3 @@
         _ => AttemptResult::UnexpectedStatus,
     }
 }
-
-/// The received body of a response to a batch.
-#[derive(Clone, Copy, Debug)]
-pub struct BatchResponseBody<'b> {
-    /// One line for each message with its id and its result.
-    pub bytes: &'b [u8],
-    /// Whether the last line is known to be complete, set by the receiver of the response.
-    pub end: BodyEnd,
-}
-
-/// Whether a response body is known to be complete.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyEnd {
-    /// The body is complete: the connection is ready for another request and no further bytes followed.
-    Confirmed,
-    /// The body may be truncated: the connection was closed or further bytes followed.
-    Unconfirmed,
-}
-
-impl BatchResponseBody<'_> {
-    /// Returns whether the last line may be truncated.
-    fn may_be_truncated(&self) -> bool {
-        self.end == BodyEnd::Unconfirmed && !self.bytes.ends_with(b"\n")
-    }
-}
-
-/// Returns the attempt results that a response to a batch gives for its messages, in the order of `messages`.
-///
-/// All messages get [`AttemptResult::MalformedResponse`] if the body omits one of them or may be truncated.
-#[must_use]
-pub fn parse_batch_results(
-    response: &response::Parts,
-    body: BatchResponseBody,
-    messages: &[OutgoingMessage],
-) -> Vec<AttemptResult> {
-    match parse_attempt_result(response) {
-        AttemptResult::Completed => {}
-        AttemptResult::Malformed => return vec![AttemptResult::BatchMalformed; messages.len()],
-        common_result => return vec![common_result; messages.len()],
-    }
-    let malformed = || vec![AttemptResult::MalformedResponse; messages.len()];
-    if body.may_be_truncated() {
-        return malformed();
-    }
-    let lines = String::from_utf8_lossy(body.bytes);
-    let result = |message: &OutgoingMessage| parse_batch_line(response, &lines, &message.id.0);
-    messages.iter().map(result).collect::<Option<Vec<_>>>().unwrap_or_else(malformed)
-}
-
-/// Parses the result in the first line with this message id and a second word. `None` if there is no such
-/// line or the word is unknown.
-fn parse_batch_line(response: &response::Parts, lines: &str, message_id: &str) -> Option<AttemptResult> {
-    let status = lines.lines().find_map(|line| {
-        let mut words = line.split_ascii_whitespace();
-        if words.next() != Some(message_id) {
-            return None;
-        }
-        words.next()
-    })?;
-    match status {
-        "accepted" => Some(AttemptResult::Completed),
-        "fault" => Some(AttemptResult::Failed),
-        "deferred" => Some(AttemptResult::Rejected { retry_after: parse_retry_after(response) }),
-        "expired" => Some(AttemptResult::AlreadyFinished),
-        "no_more" => Some(AttemptResult::AttemptsExhausted),
-        _ => None,
-    }
-}
--- a/crates/protocol/tests/responses.rs
+++ b/crates/protocol/tests/responses.rs
@@ -5,8 +5,8 @@
 use http::Response;
 use reeddock::{AttemptOutcome, LoadReport, MessageId};
 use reeddock_protocol::{
-    parse_attempt_result, parse_batch_results, parse_load_report, rejects_connection, AttemptResult,
-    BatchResponseBody, BodyEnd, FinalAnswer, OutgoingMessage,
+    parse_attempt_result, parse_load_report, rejects_connection, AttemptResult, BatchResponseDecoder,
+    BodyEnd, FinalAnswer, OutgoingMessage,
 };
 
 type Header<'a> = Option<(&'a str, &'a str)>;
@@ -109,13 +109,30 @@
     AttemptResult::AttemptsExhausted,
 ];
 
+/// Returns the results of the messages `a`, `ab` and `c`. They must not depend on the pieces of the body.
 fn batch_results(status: u16, bytes: &[u8], end: BodyEnd) -> Vec<AttemptResult> {
+    let whole = batch_results_in_pieces(status, bytes, end, bytes.len().max(1));
+    for piece_length in 1..bytes.len() {
+        let in_pieces = batch_results_in_pieces(status, bytes, end, piece_length);
+        assert_eq!(in_pieces, whole, "pieces of {piece_length} bytes");
+    }
+    whole
+}
+
+fn batch_results_in_pieces(
+    status: u16,
+    bytes: &[u8],
+    end: BodyEnd,
+    piece_length: usize,
+) -> Vec<AttemptResult> {
     let messages = ["a", "ab", "c"].map(|id| OutgoingMessage {
         id: MessageId(id.into()),
         idempotency_key: None,
         body: Default::default(),
     });
-    parse_batch_results(&head(status, None), BatchResponseBody { bytes, end }, &messages)
+    let mut decoder = BatchResponseDecoder::new(&messages);
+    bytes.chunks(piece_length).for_each(|piece| decoder.decode(piece));
+    decoder.finish(&head(status, None), end)
 }
 
 #[test]
@@ -141,6 +158,33 @@
     );
 }
 
+#[test]
+fn first_line_with_a_result_counts_and_the_rest_of_a_line_is_ignored() {
+    let body = b"a\r\n\r\n  a\tdeferred and more\r\nab accepted\nab fault\nd fault\n\xff accepted\nc no_more";
+    assert_eq!(batch_results(200, body, BodyEnd::Confirmed), BATCH_RESULTS);
+}
+
+#[test]
+fn unknown_result_in_a_batch_response_is_malformed() {
+    let body = b"a deferred\r\nab accepted!\r\nab accepted\r\nc no_more\r\n";
+    assert_eq!(batch_results(200, body, BodyEnd::Confirmed), [AttemptResult::MalformedResponse; 3]);
+}
+
+/// Guards against an id or a result that is recognised by the part of a long word that is kept.
+#[test]
+fn word_of_any_length_in_a_batch_response_is_compared_as_a_whole() {
+    let body = |long: &str| format!("a{long} fault\r\na deferred\r\nab accepted\r\nc no_more\r\n");
+    for length in [1, 127, 128, 129, 1000] {
+        let long = "x".repeat(length);
+        assert_eq!(batch_results(200, body(&long).as_bytes(), BodyEnd::Confirmed), BATCH_RESULTS);
+        let long_result = body("").replace("a fault\r\na deferred", &format!("a deferred{long}"));
+        assert_eq!(
+            batch_results(200, long_result.as_bytes(), BodyEnd::Confirmed),
+            [AttemptResult::MalformedResponse; 3]
+        );
+    }
+}
+
 #[test]
 fn batch_response_status_other_than_200_applies_to_each_message() {
     assert_eq!(batch_results(500, b"ab accepted\r\n", BodyEnd::Confirmed), [AttemptResult::Failed; 3]);
