Request bodies are copied into buffers that count against a memory budget

What callers could see: many clients whose bodies come in small pieces, or whose last byte does not come, bring the forwarder over its limit: it is killed, and all its clients wait for a restart.

Change: `MemoryBudget` is an account without I/O; a grant grows before its holder allocates and is given back by its drop, also when the task is cancelled. An eighth of the memory is for request bodies. A body is copied into a buffer of its own that grows by 4 KiB up to the declared length, so that capacity is what is granted. A body beyond the budget is read to its end and discarded, and answered with 503, so that its connection stays usable. The head is decoded, and dropped, before the body is read; which error a client gets is as before. The copy of the body after it was read is gone.

--- a/crates/daemon/tests/memory/deployment.rs
+++ b/crates/daemon/tests/memory/deployment.rs
@@ -10,6 +10,8 @@
 
 /// The memory limits of tests, in MB: the smallest and the largest of a deployment, and one between them.
 pub const MEMORY_LIMITS_MB: [u64; 3] = [32, 64, 192];
+/// The largest number of descriptors of a deployment.
+pub const MAX_DESCRIPTORS: u64 = 1024;
 /// The message class whose messages are sent at most once.
 pub const AT_MOST_ONCE: &str = "booking";
 
@@ -31,8 +33,20 @@
         Deployment { memory_mb, descriptors: 512, disk_mb: 3, destinations, batch_limit: 1 }
     }
 
+    /// Returns a deployment with the largest number of descriptors and one destination.
+    pub fn with_most_descriptors(memory_mb: u64) -> Deployment {
+        Deployment { descriptors: MAX_DESCRIPTORS, ..Deployment::new(memory_mb, 1) }
+    }
+
+    /// Checks that the forwarder stayed below half of its memory limit. `peak` is its highest private memory in
+    /// bytes.
+    pub fn check_peak(&self, peak: u64) {
+        let (memory_mb, half) = (self.memory_mb, self.half_of_memory());
+        assert!(peak < half, "{peak} bytes of private memory, expected less than {half} of {memory_mb} MB");
+    }
+
     /// Returns half of the memory limit in bytes, which the forwarder aims to stay below.
-    pub fn half_of_memory(&self) -> u64 {
+    fn half_of_memory(&self) -> u64 {
         self.memory_mb * BYTES_PER_MEGABYTE / 2
     }
 
--- a/crates/daemon/tests/memory/main.rs
+++ b/crates/daemon/tests/memory/main.rs
@@ -17,3 +17,4 @@
 mod private_memory;
 mod receive_queue;
 mod responses;
+mod submissions;
--- a/crates/daemon/tests/memory/receive_queue.rs
+++ b/crates/daemon/tests/memory/receive_queue.rs
@@ -9,22 +9,32 @@
 /// The kernel's table of TCP sockets over IPv4.
 const SOCKET_TABLE: &str = "/proc/net/tcp";
 
-/// Waits until the processes at the other side of these connections have read every byte.
-///
-/// Bytes that are written afterwards are then received by a read of their own.
-pub fn wait_until_read(streams: &[TcpStream]) {
-    let peers: BTreeSet<SocketAddr> = streams.iter().filter_map(|stream| stream.peer_addr().ok()).collect();
-    let start = Instant::now();
-    while peers_with_unread_bytes().any(|peer| peers.contains(&peer)) {
-        assert!(start.elapsed() < WAIT_TIMEOUT, "timed out waiting for written bytes to be read");
+/// The receive queues at the other side of loopback connections.
+pub struct ReceiveQueues {
+    peers: BTreeSet<SocketAddr>,
+}
+
+impl ReceiveQueues {
+    /// Returns the receive queues at the other side of these connections.
+    pub fn of_peers<'s>(streams: impl IntoIterator<Item = &'s TcpStream>) -> ReceiveQueues {
+        ReceiveQueues { peers: streams.into_iter().filter_map(|stream| stream.peer_addr().ok()).collect() }
+    }
+
+    /// Waits until every byte is read. Bytes that are written afterwards are then received by a read of their
+    /// own.
+    pub fn wait_until_empty(&self) {
+        let start = Instant::now();
+        while addresses_with_unread_bytes().any(|address| self.peers.contains(&address)) {
+            assert!(start.elapsed() < WAIT_TIMEOUT, "timed out waiting for written bytes to be read");
+        }
     }
 }
 
 /// Returns the local addresses of all sockets whose receive queue is not empty.
-fn peers_with_unread_bytes() -> impl Iterator<Item = SocketAddr> {
+fn addresses_with_unread_bytes() -> impl Iterator<Item = SocketAddr> {
     let table = std::fs::read_to_string(SOCKET_TABLE).unwrap();
-    let rows: Vec<SocketAddr> = table.lines().skip(1).filter_map(unread_address).collect();
-    rows.into_iter()
+    let addresses: Vec<SocketAddr> = table.lines().skip(1).filter_map(unread_address).collect();
+    addresses.into_iter()
 }
 
 /// Returns the local address in a row of the table. `None` if the socket's receive queue is empty.
--- a/crates/daemon/tests/memory/responses.rs
+++ b/crates/daemon/tests/memory/responses.rs
@@ -10,7 +10,7 @@
 use crate::deployment::{Deployment, MEMORY_LIMITS_MB};
 use crate::forwarder::ForwarderProcess;
 use crate::platform::Platform;
-use crate::receive_queue::wait_until_read;
+use crate::receive_queue::ReceiveQueues;
 use crate::stub_server::{start_stub, Connection, Request, OK_RESPONSE};
 use crate::wait::wait_for;
 
@@ -110,10 +110,11 @@
         let mut streams = responses.wait_until_begun(deployment.destinations - 1);
         let sent_in_batches = responses.batches.load(Ordering::Relaxed) == deployment.destinations - 1;
         assert_eq!(sent_in_batches, self.messages_per_request > 1, "messages per request");
+        let queues = ReceiveQueues::of_peers(&streams);
         let mut peak = 0;
         for _ in 0..self.pieces {
             streams.retain_mut(|stream| stream.write_all(self.piece.as_bytes()).is_ok());
-            wait_until_read(&streams);
+            queues.wait_until_empty();
             peak = peak.max(forwarder.private_memory());
         }
         forwarder.submit_all([(LAST_MESSAGE.to_owned(), deployment.destinations - 1)]);
@@ -125,15 +126,10 @@
     /// Checks that the forwarder stays below half of each memory limit.
     fn check(self) {
         for memory_mb in MEMORY_LIMITS_MB {
-            self.check_in(Deployment::new(memory_mb, RESPONSES + 1));
+            let deployment = Deployment::new(memory_mb, RESPONSES + 1);
+            deployment.check_peak(self.peak_memory(deployment));
         }
     }
-
-    fn check_in(self, deployment: Deployment) {
-        let (memory_mb, half) = (deployment.memory_mb, deployment.half_of_memory());
-        let peak = self.peak_memory(deployment);
-        assert!(peak < half, "{peak} bytes of private memory, expected less than {half} of {memory_mb} MB");
-    }
 }
 
 /// A piece of a body whose length is declared in the head.
--- a/crates/forwarder/src/ingress/accept.rs
+++ b/crates/forwarder/src/ingress/accept.rs
@@ -19,6 +19,7 @@
 use crate::events::Event;
 use crate::limits::Limits;
 use crate::log_throttle::LogThrottle;
+use crate::memory_budget::MemoryBudget;
 
 /// The delay before accepting is retried when this machine has no capacity for another connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -37,6 +38,7 @@
 ) -> JoinSet<()> {
     let connection_permits = Arc::new(Semaphore::new(limits.accepted_clients));
     let linger_permits = Arc::new(Semaphore::new(limits.lingering_clients));
+    let body_memory = MemoryBudget::new(limits.request_body_bytes);
     let closing = clients.closing();
     let log_throttle = LogThrottle::default();
     let tasks = JoinSet::new();
@@ -47,6 +49,7 @@
         event_loop,
         connection_permits,
         linger_permits,
+        body_memory,
         closing,
         log_throttle,
         tasks,
@@ -65,6 +68,8 @@
     connection_permits: Arc<Semaphore>,
     /// One permit for each closed connection that is still read from.
     linger_permits: Arc<Semaphore>,
+    /// The memory for the bodies of requests.
+    body_memory: MemoryBudget,
     closing: watch::Receiver<bool>,
     log_throttle: LogThrottle,
     /// One task for each connection that is served.
@@ -176,6 +181,7 @@
             connection,
             event_loop: self.event_loop.clone(),
             capacity,
+            body_memory: self.body_memory.clone(),
             keep_alive_limit: self.limits.keep_alive_clients,
         };
         let served = ServedConnection {
--- a/crates/forwarder/src/ingress/mod.rs
+++ b/crates/forwarder/src/ingress/mod.rs
@@ -8,10 +8,12 @@
 //! | `client_connection` | the phase of a connection, and the byte count of its current request |
 //! | `serving` | serves a connection until it ends, and closes it without losing a response |
 //! | `service` | answers requests |
+//! | `request_body` | reads the body of a request into a buffer that counts against a memory budget |
 
 mod accept;
 mod client_connection;
 mod clients;
+mod request_body;
 mod service;
 mod serving;
 
--- /dev/null
+++ b/crates/forwarder/src/ingress/request_body.rs
@@ -0,0 +1,100 @@
+//! Reads the body of a request into a buffer of its own, whose capacity counts against a memory budget.
+//!
+//! The frames in which the HTTP library returns a body are not kept. Each keeps a read buffer of its connection
+//! alive, so that a body in small pieces would take many times its length.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use reeddock_protocol::{ClientResponse, SubmissionError, MAX_BODY_BYTES};
+use tokio::time::timeout;
+
+use crate::memory_budget::{BudgetExceeded, MemoryBudget, MemoryGrant};
+
+/// The time limit for receiving a body, counted from the end of the request head.
+const BODY_TIMEOUT: Duration = Duration::from_millis(600);
+/// The step in which the buffer of a body grows as the body is received, in bytes.
+const GROWTH_STEP: usize = 4 * 1024;
+
+/// A body that was received completely.
+pub(super) struct ReceivedBody {
+    /// The length of the body in bytes.
+    pub length: usize,
+    /// The content. The error says that the memory budget did not suffice for it.
+    pub content: Result<BodyContent, BudgetExceeded>,
+}
+
+/// The content of a body, with the grant for its memory.
+pub(super) struct BodyContent {
+    /// The bytes, which share no buffer with anything else.
+    pub bytes: Bytes,
+    /// The grant for the capacity of `bytes`.
+    pub grant: MemoryGrant,
+}
+
+/// Reads a whole body within the limits of size and time. A body that exceeds the memory budget is read to its
+/// end and discarded, so that the connection can be used again. The error is the response to the request.
+pub(super) async fn read_body(body: Incoming, budget: &MemoryBudget) -> Result<ReceivedBody, ClientResponse> {
+    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
+        return Err(ClientResponse::TooLarge);
+    }
+    let buffer = BodyBuffer::new(expected_length(&body), budget);
+    timeout(BODY_TIMEOUT, receive(body, buffer)).await.unwrap_or(Err(ClientResponse::RequestTimeout))
+}
+
+/// Returns the length that the request head declares, at most [`MAX_BODY_BYTES`].
+fn expected_length(body: &Incoming) -> usize {
+    let declared = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+    declared.unwrap_or(MAX_BODY_BYTES).min(MAX_BODY_BYTES)
+}
+
+async fn receive(body: Incoming, buffer: BodyBuffer) -> Result<ReceivedBody, ClientResponse> {
+    let mut body = Limited::new(body, MAX_BODY_BYTES);
+    let mut length = 0;
+    let mut buffer = Ok(buffer);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                return ClientResponse::TooLarge;
+            }
+            let error = SubmissionError::UnreadableBody { reason: error.to_string() };
+            ClientResponse::Malformed { error }
+        })?;
+        let Some(bytes) = frame.data_ref() else { continue };
+        length += bytes.len();
+        buffer = buffer.and_then(|buffer| buffer.with(bytes));
+    }
+    Ok(ReceivedBody { length, content: buffer.map(BodyBuffer::into_content) })
+}
+
+/// A buffer that grows as a body is received. Its capacity is granted before it is allocated.
+struct BodyBuffer {
+    bytes: Vec<u8>,
+    expected_length: usize,
+    grant: MemoryGrant,
+}
+
+impl BodyBuffer {
+    fn new(expected_length: usize, budget: &MemoryBudget) -> BodyBuffer {
+        BodyBuffer { bytes: Vec::new(), expected_length, grant: budget.empty_grant() }
+    }
+
+    /// Appends bytes. With an error, the buffer and its grant are dropped.
+    fn with(mut self, bytes: &[u8]) -> Result<BodyBuffer, BudgetExceeded> {
+        let length = self.bytes.len() + bytes.len();
+        let capacity = self.bytes.capacity();
+        if length > capacity {
+            let stepped = length.next_multiple_of(GROWTH_STEP).min(self.expected_length).max(length);
+            self.grant.grow(stepped - capacity)?;
+            self.bytes.reserve_exact(stepped - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(bytes);
+        Ok(self)
+    }
+
+    fn into_content(self) -> BodyContent {
+        BodyContent { bytes: self.bytes.into(), grant: self.grant }
+    }
+}
--- a/crates/forwarder/src/ingress/service.rs
+++ b/crates/forwarder/src/ingress/service.rs
@@ -5,24 +5,22 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::TRANSFER_ENCODING;
 use http::{Method, Request, Response};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use reeddock_protocol::{ClientResponse, ConnectionOption, Submission, SubmissionError, MAX_BODY_BYTES};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use reeddock_protocol::{ClientResponse, ConnectionOption, SubmissionHead};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{timeout, Instant};
+use tokio::time::Instant;
 use tower::Service;
 
 use super::client_connection::ClientConnection;
 use super::clients::ClientConnections;
+use super::request_body::{read_body, BodyContent};
 use crate::events::Event;
-
-/// The time limit for receiving a body, counted from the end of the request head.
-const BODY_TIMEOUT: Duration = Duration::from_millis(600);
+use crate::memory_budget::{BudgetExceeded, MemoryBudget};
 
 /// Whether a connection is within the limit of served connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +38,8 @@
     pub(super) connection: Arc<ClientConnection>,
     pub(super) event_loop: mpsc::Sender<Event>,
     pub(super) capacity: ConnectionCapacity,
+    /// The memory for the bodies of all requests, until their responses.
+    pub(super) body_memory: MemoryBudget,
     /// While more connections than this are open, each connection is closed after its response.
     pub(super) keep_alive_limit: usize,
 }
@@ -105,37 +105,27 @@
         if parts.headers.contains_key(TRANSFER_ENCODING) {
             return Err(ClientResponse::LengthRequired);
         }
-        let body = read_body(body).await?;
-        if self.connection.bytes_after_head() > body.len() {
+        let head = SubmissionHead::decode(&parts);
+        // The head is dropped before the body is read, because it keeps the read buffer that it came in.
+        drop(parts);
+        let body = read_body(body, &self.body_memory).await?;
+        if self.connection.bytes_after_head() > body.length {
             return Err(ClientResponse::LengthMismatch);
         }
         let received_at = Instant::now();
-        let submission =
-            Submission::decode(&parts, body).map_err(|error| ClientResponse::Malformed { error })?;
+        let head = head.map_err(|error| ClientResponse::Malformed { error })?;
         if self.capacity == ConnectionCapacity::Exceeded {
             return Err(ClientResponse::NoCapacity);
         }
+        let BodyContent { bytes, grant } =
+            body.content.map_err(|BudgetExceeded| ClientResponse::NoCapacity)?;
         let (reply, answered) = oneshot::channel();
-        let event = Event::Submission { submission, received_at, reply };
+        let event = Event::Submission { submission: head.with_body(bytes), received_at, reply };
         self.event_loop.try_send(event).map_err(|_| ClientResponse::NoCapacity)?;
-        answered.await.map_err(|_| ClientResponse::NoCapacity)
-    }
-}
-
-/// Reads a whole body within the limits of size and time. The error is the response to the request.
-async fn read_body(body: Incoming) -> Result<Bytes, ClientResponse> {
-    if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
-        return Err(ClientResponse::TooLarge);
-    }
-    let limited = Limited::new(body, MAX_BODY_BYTES);
-    match timeout(BODY_TIMEOUT, limited.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(ClientResponse::TooLarge),
-        Ok(Err(error)) => {
-            let error = SubmissionError::UnreadableBody { reason: error.to_string() };
-            Err(ClientResponse::Malformed { error })
-        }
-        Err(_) => Err(ClientResponse::RequestTimeout),
+        let response = answered.await.map_err(|_| ClientResponse::NoCapacity);
+        // From here on, the body counts as that of a pending message, or is dropped.
+        drop(grant);
+        response
     }
 }
 
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`cached_endpoint_list`] | the endpoint list that was cached before the start |
 //! | `list_status` | the status of the endpoint list for the health check |
 //! | `notices` | sends delivery notices to the platform |
+//! | [`memory_budget`] | a limit on memory that several holders share |
 //! | [`limits`] | the limits derived from the machine's resources |
 //! | `log_throttle` | limits the rate of repeated log lines |
 //! | [`clock`] | the policy's time, and the wall-clock time of stored records |
@@ -46,6 +47,7 @@
 mod list_status;
 mod log_throttle;
 pub mod malformed_list;
+pub mod memory_budget;
 mod notices;
 mod options;
 pub mod request_sender;
--- a/crates/forwarder/src/limits.rs
+++ b/crates/forwarder/src/limits.rs
@@ -31,6 +31,8 @@
     pub endpoint_connections: usize,
     /// The maximum number of events that are queued for the event loop, submissions included.
     pub queued_events: usize,
+    /// The maximum total capacity of the bodies of client requests that have no response yet, in bytes.
+    pub request_body_bytes: u64,
     /// The maximum total size of pending messages in memory, in bytes.
     pub message_bytes: u64,
 }
@@ -41,13 +43,14 @@
         write!(
             f,
             "client connections: {} accepted, {} served, {} kept alive, {} lingering; connections to endpoints: {}; \
-             queued events: {}; bytes of pending messages: {}",
+             queued events: {}; bytes of request bodies: {}; bytes of pending messages: {}",
             self.accepted_clients,
             self.served_clients,
             self.keep_alive_clients,
             self.lingering_clients,
             self.endpoint_connections,
             self.queued_events,
+            self.request_body_bytes,
             self.message_bytes
         )
     }
@@ -126,7 +129,8 @@
             keep_alive_clients: client_descriptors / 8,
             endpoint_connections: free_descriptors - client_descriptors,
             queued_events: EVENT_QUEUE_CAPACITY,
-            // The remaining memory is for connections, each with the body that it reads, and for the program.
+            // The remaining memory is for the buffers of connections, the endpoint list and the program.
+            request_body_bytes: resources.memory_bytes / 8,
             message_bytes: resources.memory_bytes / 4,
         }
     }
--- a/crates/forwarder/tests/loopback/support/test_bed.rs
+++ b/crates/forwarder/tests/loopback/support/test_bed.rs
@@ -103,6 +103,12 @@
         self
     }
 
+    /// Sets the memory that the forwarder may use, in bytes.
+    pub fn with_memory_limit(mut self, memory_bytes: u64) -> TestBed {
+        self.resources.memory_bytes = memory_bytes;
+        self
+    }
+
     /// Sets the disk space that the forwarder may use, in bytes.
     pub fn with_disk_limit(mut self, disk_bytes: u64) -> TestBed {
         self.resources.disk_bytes = disk_bytes;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -27,7 +27,7 @@
 pub use notice::{notices_request, DeliveryNotice, FinalAnswer};
 pub use request::{batch_request, single_request, split_into_batches, OutgoingMessage};
 pub use response::{parse_attempt_result, parse_load_report, parse_retry_after, rejects_connection};
-pub use submission::Submission;
+pub use submission::{Submission, SubmissionHead};
 
 /// Maximum size of a request body in either direction, in bytes, as defined by the wire protocol.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
--- a/crates/protocol/src/submission.rs
+++ b/crates/protocol/src/submission.rs
@@ -34,9 +34,21 @@
     pub body: Bytes,
 }
 
-impl Submission {
-    /// Decodes a submission from the head of a client's request and its complete `body`.
-    pub fn decode(parts: &request::Parts, body: Bytes) -> Result<Submission, SubmissionError> {
+/// What the head of a client's request says of a message.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SubmissionHead {
+    id: MessageId,
+    class: String,
+    tenant: Option<String>,
+    ordering_key: Option<OrderingKey>,
+    destination: DestinationId,
+    time_left: Duration,
+    idempotency_key: Option<String>,
+}
+
+impl SubmissionHead {
+    /// Decodes the head of a client's request. The result shares no memory with the head.
+    pub fn decode(parts: &request::Parts) -> Result<SubmissionHead, SubmissionError> {
         let headers = &parts.headers;
         let id = required(headers, MESSAGE_ID)?;
         check_id(MESSAGE_ID, id)?;
@@ -51,7 +63,7 @@
         let ordering_key = parse_ordering_key(headers)?;
         let destination = destination.ok_or(SubmissionError::NoDestination)?;
         let time_left = parse_seconds(required(headers, TIME_LEFT)?).ok_or(malformed(TIME_LEFT))?;
-        Ok(Submission {
+        Ok(SubmissionHead {
             id: MessageId(Arc::from(id)),
             class: class.to_owned(),
             tenant: header_text(headers, TENANT).map(str::to_owned),
@@ -59,10 +71,16 @@
             destination,
             time_left,
             idempotency_key: idempotency_key.map(str::to_owned),
-            // Copied because a slice would keep the whole buffer of the connection in memory.
-            body: Bytes::copy_from_slice(&body),
         })
     }
+
+    /// Returns the message with this complete body.
+    #[must_use]
+    pub fn with_body(self, body: Bytes) -> Submission {
+        let SubmissionHead { id, class, tenant, ordering_key, destination, time_left, idempotency_key } =
+            self;
+        Submission { id, class, tenant, ordering_key, destination, time_left, idempotency_key, body }
+    }
 }
 
 fn malformed(header: &'static str) -> SubmissionError {
