The limit on a message head is derived from the memory and the connections

What callers could see: with 1,024 descriptors and 32 MB, clients or partners whose heads go on take more than half of the memory each, and more than all of it together: the forwarder is killed.

Cause: a request head of up to 16 KiB and a response head of up to 32 KiB could be held on each connection, whatever the memory; 521 clients and 397 connections to endpoints are 20 MB of heads. The parsed head of a response was kept while its body was read, with the read buffer that its values share.

Change: `Limits` derives both head limits from an eighth of the memory and the number of connections, as a power of two like the capacity of the buffer behind it: 8 to 16 KiB for requests, 8 to 32 KiB for responses. They shrink only where memory is scarce for the descriptors; at 32 MB with 256 and 48 MB with 544 descriptors they are what they were. `ResponseHead` has what the head says, and the head is dropped before the body is read. `reeddock check` prints the limits.

A test of all limits from 32 to 192 MB and 256 to 1,024 descriptors: heads, bodies and messages fit into three quarters.

--- a/crates/daemon/tests/memory/deployment.rs
+++ b/crates/daemon/tests/memory/deployment.rs
@@ -42,6 +42,7 @@
     /// bytes.
     pub fn check_peak(&self, peak: u64) {
         let (memory_mb, half) = (self.memory_mb, self.half_of_memory());
+        println!("{peak} bytes of private memory at a limit of {memory_mb} MB");
         assert!(peak < half, "{peak} bytes of private memory, expected less than {half} of {memory_mb} MB");
     }
 
--- a/crates/daemon/tests/memory/responses.rs
+++ b/crates/daemon/tests/memory/responses.rs
@@ -168,3 +168,13 @@
     Scenario::new(head, "1\r\nz\r\n1\r\nz\r\n1\r\nz\r\n1\r\nz\r\n1\r\nz\r\n1\r\nz\r\n1\r\nz\r\n1\r\nz\r\n")
         .check();
 }
+
+/// Guards against response heads that together outgrow the memory, on as many connections as there can be.
+#[test]
+fn response_heads_that_go_on_stay_within_the_memory_for_heads() {
+    let scenario = Scenario::new("HTTP/1.1 500 No\r\nX-Pad: ", BODY_PIECE);
+    for memory_mb in MEMORY_LIMITS_MB {
+        let deployment = Deployment { destinations: 390, ..Deployment::with_most_descriptors(memory_mb) };
+        deployment.check_peak(scenario.peak_memory(deployment));
+    }
+}
--- a/crates/daemon/tests/memory/submissions.rs
+++ b/crates/daemon/tests/memory/submissions.rs
@@ -13,9 +13,16 @@
 
 /// The number of clients, fewer than the connections that a forwarder with most descriptors serves.
 const CLIENTS: usize = 440;
+/// The number of clients that a forwarder with most descriptors accepts.
+const MAX_CLIENTS: usize = 520;
 /// The largest body of a message, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
+/// The number of headers of a long request head.
+const PADDING_HEADERS: usize = 90;
+/// The length of each header of a long request head, in bytes.
+const PADDING_BYTES: usize = 150;
+
 /// An endpoint that never responds.
 fn never_respond(_: &(), _: &Request, _: &mut TcpStream) -> Connection {
     Connection::Keep
@@ -62,6 +69,14 @@
     peak
 }
 
+/// Returns a submission with a long head and a body of the maximum length.
+fn largest_submission(id: &str) -> String {
+    let value = "y".repeat(PADDING_BYTES);
+    let padding: String = (0..PADDING_HEADERS).map(|n| format!("X-Pad-{n}: {value}\r\n")).collect();
+    let request = submission(id, 0, &"x".repeat(MAX_BODY_BYTES));
+    request.replacen("Host: a\r\n", &format!("Host: a\r\n{padding}"), 1)
+}
+
 /// Guards against keeping a request body with a read buffer for each piece, and against bodies that together
 /// outgrow the memory.
 #[test]
@@ -73,3 +88,29 @@
         deployment.check_peak(peak_memory(&start_forwarder(deployment), &requests, 128));
     }
 }
+
+/// Guards against keeping the heads and bodies of requests whose last byte does not come.
+#[test]
+fn incomplete_requests_of_many_clients_stay_within_the_memory_for_bodies() {
+    let incomplete = |mut request: String| {
+        request.pop();
+        request
+    };
+    let requests: Vec<String> =
+        (0..CLIENTS).map(|n| incomplete(largest_submission(&format!("c{n}")))).collect();
+    for memory_mb in MEMORY_LIMITS_MB {
+        let deployment = Deployment::with_most_descriptors(memory_mb);
+        deployment.check_peak(peak_memory(&start_forwarder(deployment), &requests, 100_000));
+    }
+}
+
+/// Guards against request heads that together outgrow the memory, on as many connections as there can be.
+#[test]
+fn request_heads_that_go_on_stay_within_the_memory_for_heads() {
+    let head = format!("POST /api HTTP/1.1\r\nX-Pad: {}", "y".repeat(16_000));
+    let requests = vec![head; MAX_CLIENTS];
+    for memory_mb in MEMORY_LIMITS_MB {
+        let deployment = Deployment::with_most_descriptors(memory_mb);
+        deployment.check_peak(peak_memory(&start_forwarder(deployment), &requests, 16_000));
+    }
+}
--- a/crates/forwarder/src/connections/connection.rs
+++ b/crates/forwarder/src/connections/connection.rs
@@ -18,9 +18,7 @@
 use tokio::time::timeout;
 
 use super::observed_stream::{ExchangeProgress, ObservedStream};
-
-/// Maximum length of a response head in bytes. A response with a longer or endless head fails.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
+use crate::limits::MAX_RESPONSE_HEAD_BYTES;
 
 /// The task that runs a connection. Dropping the value aborts the task, which closes the connection.
 struct Driver(AbortHandle);
@@ -31,6 +29,23 @@
     }
 }
 
+/// How a connection is opened.
+pub(crate) struct ConnectionOptions {
+    /// The time limit for connecting.
+    pub connect_timeout: Duration,
+    /// The maximum length of a response head, in bytes. A response with a longer or endless head fails.
+    pub max_head_bytes: usize,
+    /// Counts the connection against a limit, until the connection closes. `None` without a limit.
+    pub permit: Option<OwnedSemaphorePermit>,
+}
+
+impl ConnectionOptions {
+    /// Returns the options of a connection to the platform, which counts against no limit.
+    pub(crate) fn to_platform(connect_timeout: Duration) -> ConnectionOptions {
+        ConnectionOptions { connect_timeout, max_head_bytes: MAX_RESPONSE_HEAD_BYTES, permit: None }
+    }
+}
+
 /// An open connection. Dropping it closes the connection, including any request in flight.
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -44,18 +59,14 @@
 impl Connection {
     /// Connects to an address.
     ///
-    /// The permit counts the connection against a limit and is released when the connection closes. `None`
-    /// without a limit. An error means that nothing was sent: connecting timed out or was refused, or this
-    /// machine has no descriptor left.
-    pub(crate) async fn open(
-        address: SocketAddr,
-        connect_timeout: Duration,
-        permit: Option<OwnedSemaphorePermit>,
-    ) -> Result<Self, AttemptResult> {
+    /// An error means that nothing was sent: connecting timed out or was refused, or this machine has no
+    /// descriptor left.
+    pub(crate) async fn open(address: SocketAddr, options: ConnectionOptions) -> Result<Self, AttemptResult> {
+        let ConnectionOptions { connect_timeout, max_head_bytes, permit } = options;
         let stream = connect(address, connect_timeout).await?;
         let progress = Arc::<ExchangeProgress>::default();
         let observed = ObservedStream::new(stream, progress.clone());
-        let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(observed).await;
+        let handshake = http1::Builder::new().max_buf_size(max_head_bytes).handshake(observed).await;
         let (sender, connection) = handshake.map_err(|_| AttemptResult::ResetWhileSending)?;
         let driver = tokio::spawn(async move {
             // A request in flight receives the connection's error from `send`.
--- a/crates/forwarder/src/connections/mod.rs
+++ b/crates/forwarder/src/connections/mod.rs
@@ -16,7 +16,7 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-pub(crate) use connection::{is_resource_exhausted, Connection};
+pub(crate) use connection::{is_resource_exhausted, Connection, ConnectionOptions};
 pub(crate) use observed_stream::read_observed;
 pub use pool::ConnectionPool;
 
--- a/crates/forwarder/src/connections/pool.rs
+++ b/crates/forwarder/src/connections/pool.rs
@@ -12,8 +12,9 @@
 
 use super::reuse_history::{ReuseHistory, ReuseOutcome};
 use super::send_restrictions::SendRestrictions;
-use super::{lock, Connection};
+use super::{lock, Connection, ConnectionOptions};
 use crate::idle_permits::IdlePermits;
+use crate::limits::MAX_RESPONSE_HEAD_BYTES;
 
 /// How long a connection must stay silent after a response before it carries another request.
 ///
@@ -54,6 +55,7 @@
     /// One permit for each open connection, idle ones included.
     connection_permits: Arc<Semaphore>,
     connect_timeout: Duration,
+    max_head_bytes: usize,
     max_idle_time: Duration,
 }
 
@@ -73,11 +75,19 @@
             idle_permits: Arc::default(),
             connection_permits: Arc::new(Semaphore::new(max_connections)),
             connect_timeout,
+            max_head_bytes: MAX_RESPONSE_HEAD_BYTES,
             // The margin covers the time between the endpoint's response and the arrival of the next request.
             max_idle_time: endpoint_idle_timeout - endpoint_idle_timeout / 8,
         }
     }
 
+    /// Sets the maximum length of a response head, in bytes, for connections that are opened from now on. The
+    /// value must be at least 8 KiB, the least that the HTTP library accepts.
+    #[must_use]
+    pub fn with_max_head_bytes(self, max_head_bytes: usize) -> ConnectionPool {
+        ConnectionPool { max_head_bytes, ..self }
+    }
+
     /// Returns the endpoint's most recently used idle connection, or opens a new one to `address`.
     pub(crate) async fn acquire(
         &self,
@@ -88,7 +98,12 @@
             return Ok(connection);
         }
         let permit = self.acquire_permit().await?;
-        Connection::open(address, self.connect_timeout, Some(permit)).await
+        let options = ConnectionOptions {
+            connect_timeout: self.connect_timeout,
+            max_head_bytes: self.max_head_bytes,
+            permit: Some(permit),
+        };
+        Connection::open(address, options).await
     }
 
     /// Returns the most recently used idle connection that has settled. Connections that can't be used any
--- a/crates/forwarder/src/discovery.rs
+++ b/crates/forwarder/src/discovery.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-use crate::connections::Connection;
+use crate::connections::{Connection, ConnectionOptions};
 use crate::events::Event;
 use crate::list_reader::{ListReader, WatchProgress};
 use crate::log_throttle::LogThrottle;
@@ -89,8 +89,8 @@
             Ok(request) => request,
             Err(error) => return WatchFailure::BuildRequest(error.to_string()).into(),
         };
-        let mut connection = match Connection::open(self.discovery, self.timings.connect_timeout, None).await
-        {
+        let options = ConnectionOptions::to_platform(self.timings.connect_timeout);
+        let mut connection = match Connection::open(self.discovery, options).await {
             Ok(connection) => connection,
             Err(result) => return WatchFailure::Connection(result).into(),
         };
--- a/crates/forwarder/src/ingress/accept.rs
+++ b/crates/forwarder/src/ingress/accept.rs
@@ -188,6 +188,7 @@
             stream,
             client,
             service,
+            max_head_bytes: self.limits.request_head_bytes,
             connection_permit,
             linger_permits: self.linger_permits.clone(),
         };
--- a/crates/forwarder/src/ingress/serving.rs
+++ b/crates/forwarder/src/ingress/serving.rs
@@ -23,9 +23,6 @@
 /// How long data on a closed connection is read and discarded. The operating system resets a connection that
 /// is dropped with unread data, and a response in flight would be lost.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
-/// The maximum number of bytes that the HTTP library buffers for a connection, and thus the maximum length of
-/// a request head.
-const MAX_BUFFER_BYTES: usize = 16 * 1024;
 
 type HttpConnection = http1::Connection<CountedStream, TowerToHyperService<IngressService>>;
 
@@ -41,6 +38,8 @@
     pub(super) stream: TcpStream,
     pub(super) client: SocketAddr,
     pub(super) service: IngressService,
+    /// The maximum length of a request head, in bytes, and thus of what the HTTP library buffers.
+    pub(super) max_head_bytes: usize,
     /// The permit to keep an accepted connection open. Released when the descriptor is closed, or when
     /// [`linger`] begins to discard the data that the client still sends.
     pub(super) connection_permit: Option<OwnedSemaphorePermit>,
@@ -56,7 +55,7 @@
         let stream = CountedStream::new(self.stream, connection.clone());
         let service = TowerToHyperService::new(self.service);
         let mut http: HttpConnection =
-            http1::Builder::new().max_buf_size(MAX_BUFFER_BYTES).serve_connection(stream, service);
+            http1::Builder::new().max_buf_size(self.max_head_bytes).serve_connection(stream, service);
         let ended = tokio::select! {
             biased;
             ended = &mut http => ended,
--- a/crates/forwarder/src/limits.rs
+++ b/crates/forwarder/src/limits.rs
@@ -31,6 +31,10 @@
     pub endpoint_connections: usize,
     /// The maximum number of events that are queued for the event loop, submissions included.
     pub queued_events: usize,
+    /// The maximum length of a client's request head, in bytes, a power of two.
+    pub request_head_bytes: usize,
+    /// The maximum length of the head of an endpoint's response, in bytes, a power of two.
+    pub response_head_bytes: usize,
     /// The maximum total capacity of the bodies of client requests that have no response yet, in bytes.
     pub request_body_bytes: u64,
     /// The maximum total size of pending messages in memory, in bytes.
@@ -43,13 +47,15 @@
         write!(
             f,
             "client connections: {} accepted, {} served, {} kept alive, {} lingering; connections to endpoints: {}; \
-             queued events: {}; bytes of request bodies: {}; bytes of pending messages: {}",
+             queued events: {}; bytes of a request head: {}, of a response head: {}, of all request bodies: {}; bytes of pending messages: {}",
             self.accepted_clients,
             self.served_clients,
             self.keep_alive_clients,
             self.lingering_clients,
             self.endpoint_connections,
             self.queued_events,
+            self.request_head_bytes,
+            self.response_head_bytes,
             self.request_body_bytes,
             self.message_bytes
         )
@@ -98,6 +104,23 @@
 /// The maximum number of events that are queued for the event loop, which handles at most 256 in one step.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
 
+/// The minimum of the limit on a message head, in bytes. The HTTP library accepts no lower one.
+const MIN_HEAD_BYTES: usize = 8 * 1024;
+/// The maximum length of a request head, in bytes.
+const MAX_REQUEST_HEAD_BYTES: usize = 16 * 1024;
+/// The maximum length of a response head, in bytes. Connections to the platform have this limit.
+pub const MAX_RESPONSE_HEAD_BYTES: usize = 32 * 1024;
+
+/// Returns the limit on the length of a message head, with which the heads on all connections fit into
+/// `memory_bytes`.
+///
+/// The limit is a power of two, like the capacity of the buffer that a head is received into.
+fn head_limit(memory_bytes: u64, connections: usize, max: usize) -> usize {
+    let share = memory_bytes / connections.max(1) as u64;
+    let share = usize::try_from(share).unwrap_or(max).clamp(MIN_HEAD_BYTES, max);
+    1 << share.ilog2()
+}
+
 impl DescriptorReserve {
     /// Returns the sum of all descriptors in the reserve.
     pub const fn total(&self) -> usize {
@@ -122,14 +145,25 @@
         let client_descriptors = free_descriptors * 3 / 5;
         let lingering_clients = client_descriptors / 8;
         let accepted_clients = client_descriptors - lingering_clients;
+        let endpoint_connections = free_descriptors - client_descriptors;
         Limits {
             served_clients: accepted_clients - accepted_clients / 8,
             accepted_clients,
             lingering_clients,
             keep_alive_clients: client_descriptors / 8,
-            endpoint_connections: free_descriptors - client_descriptors,
+            endpoint_connections,
             queued_events: EVENT_QUEUE_CAPACITY,
-            // The remaining memory is for the buffers of connections, the endpoint list and the program.
+            request_head_bytes: head_limit(
+                resources.memory_bytes / 8,
+                accepted_clients,
+                MAX_REQUEST_HEAD_BYTES,
+            ),
+            response_head_bytes: head_limit(
+                resources.memory_bytes / 8,
+                endpoint_connections,
+                MAX_RESPONSE_HEAD_BYTES,
+            ),
+            // The remaining memory is for the other buffers of connections, the endpoint list and the program.
             request_body_bytes: resources.memory_bytes / 8,
             message_bytes: resources.memory_bytes / 4,
         }
--- a/crates/forwarder/src/notices.rs
+++ b/crates/forwarder/src/notices.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
-use crate::connections::Connection;
+use crate::connections::{Connection, ConnectionOptions};
 use crate::discovery::address_changed;
 use crate::events::Event;
 use crate::log_throttle::LogThrottle;
@@ -152,7 +152,10 @@
 ) -> Result<StatusCode, NoticeError> {
     let mut connection = match open_connection.take() {
         Some(connection) => connection,
-        None => Connection::open(platform, RESPONSE_TIMEOUT, None).await.map_err(NoticeError::Connection)?,
+        None => {
+            let options = ConnectionOptions::to_platform(RESPONSE_TIMEOUT);
+            Connection::open(platform, options).await.map_err(NoticeError::Connection)?
+        }
     };
     let request = notices_request(platform, notices)?;
     let response = connection.send(request).await.map_err(NoticeError::Connection)?;
--- a/crates/forwarder/src/request_sender/sender.rs
+++ b/crates/forwarder/src/request_sender/sender.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{response, Request, Response};
+use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use reeddock::EndpointId;
-use reeddock_protocol::{self as protocol, AttemptResult, BatchResponseDecoder, BodyEnd, OutgoingMessage};
+use reeddock_protocol::{
+    self as protocol, AttemptResult, BatchResponseDecoder, BodyEnd, OutgoingMessage, ResponseHead,
+};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, Instant};
 use tower::Service;
@@ -199,7 +201,7 @@
         batch: &SentBatch,
     ) -> RequestResult {
         let single = batch.single_message().is_some();
-        let (head, body) = match response {
+        let (parts, body) = match response {
             Ok(response) => response.into_parts(),
             // The HTTP library could not parse the head, but the status line says 200.
             Err(_) if single && connection.status_is_ok() => {
@@ -207,17 +209,19 @@
             }
             Err(result) => return batch.same_for_all(result),
         };
-        if connection.is_first_request() && protocol::rejects_connection(&head) {
+        let head = ResponseHead::decode(&parts);
+        // The headers are dropped before the body is read, because they keep the read buffer that they came in.
+        drop(parts);
+        if connection.is_first_request() && head.rejects_connection {
             self.connections.connection_rejected(self.request.endpoint);
         }
-        let load_report = protocol::parse_load_report(&head);
-        let result = if single && protocol::parse_attempt_result(&head) == AttemptResult::Completed {
+        let result = if single && head.result == AttemptResult::Completed {
             self.finish_in_background(connection, body).await;
             batch.same_for_all(AttemptResult::Completed)
         } else {
             self.read_whole_response(connection, &head, body, batch).await
         };
-        RequestResult { load_report, ..result }
+        RequestResult { load_report: head.load_report, ..result }
     }
 
     /// Reads the rest of a response whose result is known, so that the connection can be reused. After a
@@ -234,12 +238,12 @@
     ///
     /// If the body is late, the `Retry-After` of the head is reported first, because the wait counts from the
     /// head and no other request may be sent to the endpoint meanwhile.
-    async fn wait_for_body<T>(&self, head: &response::Parts, body: impl Future<Output = T>) -> T {
+    async fn wait_for_body<T>(&self, head: &ResponseHead, body: impl Future<Output = T>) -> T {
         let mut body = pin!(body);
         if let Ok(read) = timeout(REMAINDER_WAIT_BEFORE_RESULT, &mut body).await {
             return read;
         }
-        if let Some(retry_after) = protocol::parse_retry_after(head) {
+        if let Some(retry_after) = head.retry_after {
             self.request.early_retry_after.send_replace(Some(retry_after));
         }
         body.await
@@ -249,7 +253,7 @@
     async fn read_whole_response(
         &self,
         mut connection: Connection,
-        head: &response::Parts,
+        head: &ResponseHead,
         body: Incoming,
         batch: &SentBatch,
     ) -> RequestResult {
@@ -257,7 +261,7 @@
         let body = read_body(body, |bytes| decoder.decode(bytes));
         if let Err(IncompleteBody) = self.wait_for_body(head, body).await {
             // The `Retry-After` is in the head and is valid even if the body is incomplete.
-            let retry_after = protocol::parse_retry_after(head);
+            let retry_after = head.retry_after;
             return RequestResult { retry_after, ..batch.same_for_all(AttemptResult::MalformedResponse) };
         }
         let end = if connection.ready().await {
@@ -267,12 +271,12 @@
             BodyEnd::Unconfirmed
         };
         if batch.single_message().is_some() {
-            return batch.same_for_all(protocol::parse_attempt_result(head));
+            return batch.same_for_all(head.result);
         }
         let sent_results = batch.positions.iter().zip(decoder.finish(head, end));
         let results =
             sent_results.map(|(position, result)| MessageResult { position: *position, result }).collect();
-        RequestResult { retry_after: protocol::parse_retry_after(head), ..RequestResult::new(results) }
+        RequestResult { retry_after: head.retry_after, ..RequestResult::new(results) }
     }
 }
 
--- a/crates/forwarder/src/serve.rs
+++ b/crates/forwarder/src/serve.rs
@@ -100,7 +100,9 @@
 }
 
 fn new_connection_pool(limits: &Limits, options: &ForwarderOptions) -> ConnectionPool {
-    ConnectionPool::new(limits.endpoint_connections, options.connect_timeout, options.endpoint_idle_timeout)
+    let (connect_timeout, idle_timeout) = (options.connect_timeout, options.endpoint_idle_timeout);
+    ConnectionPool::new(limits.endpoint_connections, connect_timeout, idle_timeout)
+        .with_max_head_bytes(limits.response_head_bytes)
 }
 
 /// Opens the write-ahead log in the state folder.
--- a/crates/forwarder/tests/units.rs
+++ b/crates/forwarder/tests/units.rs
@@ -70,6 +70,27 @@
     }
 }
 
+/// Guards against limits that are each within the memory, and together beyond it.
+#[test]
+fn heads_bodies_and_messages_fit_into_three_quarters_of_any_memory() {
+    for memory_mb in 32..=192 {
+        for descriptors in 256..=1024 {
+            let memory_bytes = memory_mb * 1_000_000;
+            let resources = ResourceLimits { memory_bytes, descriptors, disk_bytes: 3_000_000 };
+            let limits = Limits::derive(resources);
+            let request_heads = limits.accepted_clients * limits.request_head_bytes;
+            let response_heads = limits.endpoint_connections * limits.response_head_bytes;
+            let planned =
+                (request_heads + response_heads) as u64 + limits.request_body_bytes + limits.message_bytes;
+            assert!(
+                planned <= memory_bytes * 3 / 4,
+                "{planned} bytes of {memory_mb} MB, {descriptors} descriptors"
+            );
+            assert!(limits.request_head_bytes >= 8192 && limits.response_head_bytes >= 8192);
+        }
+    }
+}
+
 #[test]
 fn stored_time_converts_back_to_same_policy_time() {
     let clock = Clock::start();
--- a/crates/protocol/src/batch_response.rs
+++ b/crates/protocol/src/batch_response.rs
@@ -1,10 +1,9 @@
 //! Incremental decoder for the body of a response to a batch. It performs no I/O.
 
-use http::response;
+use std::time::Duration;
 
 use crate::headers::MAX_ID_BYTES;
-use crate::response::{parse_attempt_result, parse_retry_after};
-use crate::{AttemptResult, OutgoingMessage};
+use crate::{AttemptResult, OutgoingMessage, ResponseHead};
 
 /// Whether a response body is known to be complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -66,16 +65,17 @@
     ///
     /// All messages get [`AttemptResult::MalformedResponse`] if the body omits one of them or may be truncated.
     #[must_use]
-    pub fn finish(mut self, response: &response::Parts, end: BodyEnd) -> Vec<AttemptResult> {
+    pub fn finish(mut self, head: &ResponseHead, end: BodyEnd) -> Vec<AttemptResult> {
         let count = self.messages.len();
-        match parse_attempt_result(response) {
+        match head.result {
             AttemptResult::Completed => {}
             AttemptResult::Malformed => return vec![AttemptResult::BatchMalformed; count],
             common_result => return vec![common_result; count],
         }
         let may_be_truncated = end == BodyEnd::Unconfirmed && !self.ends_with_line_feed;
         self.end_line();
-        let results = self.results.iter().map(|result| result.and_then(|line| line.attempt_result(response)));
+        let attempt_result = |line: BatchLineResult| line.attempt_result(head.retry_after);
+        let results = self.results.iter().map(|line| line.and_then(attempt_result));
         let results = results.collect::<Option<Vec<AttemptResult>>>().filter(|_| !may_be_truncated);
         results.unwrap_or_else(|| vec![AttemptResult::MalformedResponse; count])
     }
@@ -105,11 +105,11 @@
     }
 
     /// Returns the result of an attempt; `None` if the word in the line is unknown.
-    fn attempt_result(self, response: &response::Parts) -> Option<AttemptResult> {
+    fn attempt_result(self, retry_after: Option<Duration>) -> Option<AttemptResult> {
         Some(match self {
             BatchLineResult::Accepted => AttemptResult::Completed,
             BatchLineResult::Fault => AttemptResult::Failed,
-            BatchLineResult::Deferred => AttemptResult::Rejected { retry_after: parse_retry_after(response) },
+            BatchLineResult::Deferred => AttemptResult::Rejected { retry_after },
             BatchLineResult::Expired => AttemptResult::AlreadyFinished,
             BatchLineResult::NoMore => AttemptResult::AttemptsExhausted,
             BatchLineResult::Unknown => return None,
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -26,7 +26,9 @@
 pub use list::{watch_request, ListDecoder, ListEntry, ListEvent, ListLimits, ListPart};
 pub use notice::{notices_request, DeliveryNotice, FinalAnswer};
 pub use request::{batch_request, single_request, split_into_batches, OutgoingMessage};
-pub use response::{parse_attempt_result, parse_load_report, parse_retry_after, rejects_connection};
+pub use response::{
+    parse_attempt_result, parse_load_report, parse_retry_after, rejects_connection, ResponseHead,
+};
 pub use submission::{Submission, SubmissionHead};
 
 /// Maximum size of a request body in either direction, in bytes, as defined by the wire protocol.
--- a/crates/protocol/src/response.rs
+++ b/crates/protocol/src/response.rs
@@ -14,6 +14,33 @@
 /// Load report field with the rate limit, in requests per second.
 const REPORT_LIMIT: &str = "x1";
 
+/// What the head of an endpoint's response says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ResponseHead {
+    /// The result for all messages of the request. For a batch with [`AttemptResult::Completed`], the body has
+    /// the result of each message.
+    pub result: AttemptResult,
+    /// The `Retry-After` of the response, see [`parse_retry_after`].
+    pub retry_after: Option<Duration>,
+    /// The load report of the response, see [`parse_load_report`].
+    pub load_report: Option<LoadReport>,
+    /// Whether the endpoint accepts no further connections, see [`rejects_connection`].
+    pub rejects_connection: bool,
+}
+
+impl ResponseHead {
+    /// Decodes the head of a response. The result shares no memory with the head.
+    #[must_use]
+    pub fn decode(response: &response::Parts) -> ResponseHead {
+        ResponseHead {
+            result: parse_attempt_result(response),
+            retry_after: parse_retry_after(response),
+            load_report: parse_load_report(response),
+            rejects_connection: rejects_connection(response),
+        }
+    }
+}
+
 /// Returns the `Retry-After` of a response. `None` if it is absent, malformed or zero.
 #[must_use]
 pub fn parse_retry_after(response: &response::Parts) -> Option<Duration> {
--- a/crates/protocol/tests/responses.rs
+++ b/crates/protocol/tests/responses.rs
@@ -6,7 +6,7 @@
 use reeddock::{AttemptOutcome, LoadReport, MessageId};
 use reeddock_protocol::{
     parse_attempt_result, parse_load_report, rejects_connection, AttemptResult, BatchResponseDecoder,
-    BodyEnd, FinalAnswer, OutgoingMessage,
+    BodyEnd, FinalAnswer, OutgoingMessage, ResponseHead,
 };
 
 type Header<'a> = Option<(&'a str, &'a str)>;
@@ -132,7 +132,7 @@
     });
     let mut decoder = BatchResponseDecoder::new(&messages);
     bytes.chunks(piece_length).for_each(|piece| decoder.decode(piece));
-    decoder.finish(&head(status, None), end)
+    decoder.finish(&ResponseHead::decode(&head(status, None)), end)
 }
 
 #[test]
