The body of a request is sent from where it is held, not from a copy

What callers could see: a forwarder that holds large bodies takes twice the memory that it counts for them, and with a large disk it is killed while it still answers 202.

Cause: the HTTP library copies the body of a request behind its head where the socket can't write several buffers at once, and keeps that buffer as long as the connection, idle ones included.

Evidence: an allocation trace (heaptrack) of 121 accepted messages of 64 KiB at 32 MB: 7,929,856 bytes are the bodies, 7,876,810 bytes are write buffers of connections to endpoints, of 19,951,977 in all.

Change: `ObservedStream` writes vectored and records what was sent over the slices; the check for bytes that came before the request stands once.

--- a/crates/daemon/tests/memory/forwarder.rs
+++ b/crates/daemon/tests/memory/forwarder.rs
@@ -50,6 +50,26 @@
             assert!(status_line.contains(" 202 "), "message {id}: expected 202, found {status_line}");
         }
     }
+
+    /// Submits messages to these many destinations in turn until one is rejected. Returns the number of accepted
+    /// messages.
+    pub fn submit_until_rejected(&self, destinations: u64, body: &str) -> u64 {
+        let mut stream = TcpStream::connect(self.address).unwrap();
+        let mut responses = BufReader::new(stream.try_clone().unwrap());
+        for number in 0.. {
+            let request = submission(&format!("m{number}"), number % destinations, body);
+            stream.write_all(request.as_bytes()).unwrap();
+            let status_line = read_status_line(&mut responses);
+            if status_line.contains(" 503 ") {
+                return number;
+            }
+            assert!(
+                status_line.contains(" 202 "),
+                "message {number}: expected 202 or 503, found {status_line}"
+            );
+        }
+        unreachable!("messages without end were accepted")
+    }
 }
 
 /// Returns a client's request to deliver a message.
--- a/crates/daemon/tests/memory/submissions.rs
+++ b/crates/daemon/tests/memory/submissions.rs
@@ -114,3 +114,19 @@
         deployment.check_peak(peak_memory(&start_forwarder(deployment), &requests, 16_000));
     }
 }
+
+/// Guards against bodies of pending messages that take a multiple of what is counted for them.
+#[test]
+fn bodies_of_pending_messages_stay_within_the_memory_for_messages() {
+    let body = "x".repeat(MAX_BODY_BYTES);
+    for memory_mb in MEMORY_LIMITS_MB {
+        let deployment = Deployment {
+            disk_mb: 1_000,
+            destinations: 1_000,
+            ..Deployment::with_most_descriptors(memory_mb)
+        };
+        let forwarder = start_forwarder(deployment);
+        forwarder.submit_until_rejected(deployment.destinations, &body);
+        deployment.check_peak(forwarder.private_memory());
+    }
+}
--- a/crates/forwarder/src/connections/observed_stream.rs
+++ b/crates/forwarder/src/connections/observed_stream.rs
@@ -1,6 +1,6 @@
 //! The socket of a connection to another machine, which records the progress of the exchange on it.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
@@ -85,6 +85,14 @@
         ObservedStream { stream: TokioIo::new(stream), progress }
     }
 
+    /// Fails if the connection has received bytes since the last response and no request was begun.
+    fn check_silent_before_request(&self) -> io::Result<()> {
+        if !self.progress.request_begun() && !self.receive_buffer_is_empty() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+
     /// Returns whether the socket has no data to read.
     ///
     /// Bytes that arrive before a request is sent would be parsed as its response. The check asks the
@@ -105,14 +113,34 @@
 impl Write for ObservedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        if !this.progress.request_begun() && !this.receive_buffer_is_empty() {
-            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
-        }
+        this.check_silent_before_request()?;
         let written = ready!(Pin::new(&mut this.stream).poll_write(cx, bytes))?;
         this.progress.record_sent(&bytes[..written]);
         Poll::Ready(Ok(written))
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context,
+        slices: &[IoSlice],
+    ) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        this.check_silent_before_request()?;
+        let written = ready!(Pin::new(&mut this.stream).poll_write_vectored(cx, slices))?;
+        let mut left = written;
+        for slice in slices {
+            let sent = left.min(slice.len());
+            this.progress.record_sent(&slice[..sent]);
+            left -= sent;
+        }
+        Poll::Ready(Ok(written))
+    }
+
+    /// Returns true, so that the HTTP library does not copy the body of a request behind its head.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         Pin::new(&mut self.get_mut().stream).poll_flush(cx)
     }
