Notices count against the memory for messages until they are acknowledged

What callers could see: while the platform does not respond to notices, each message that is not delivered leaves a notice in memory, without a limit but the disk; with a large disk the forwarder is killed.

Cause: `has_capacity_for` counted pending messages only. A message that gets its final answer leaves the pending ones, and its notice stays in the queue to the platform and in the index of the write-ahead log.

Change: each unacknowledged notice counts 512 bytes, so that submissions get 503 when notices fill the memory for messages.

Tests of the package forwarder pass.

--- a/crates/daemon/tests/memory/deployment.rs
+++ b/crates/daemon/tests/memory/deployment.rs
@@ -8,8 +8,10 @@
 
 const BYTES_PER_MEGABYTE: u64 = 1_000_000;
 
+/// The smallest memory limit of a deployment, in MB.
+pub const SMALLEST_MEMORY_LIMIT_MB: u64 = 32;
 /// The memory limits of tests, in MB: the smallest and the largest of a deployment, and one between them.
-pub const MEMORY_LIMITS_MB: [u64; 3] = [32, 64, 192];
+pub const MEMORY_LIMITS_MB: [u64; 3] = [SMALLEST_MEMORY_LIMIT_MB, 64, 192];
 /// The largest number of descriptors of a deployment.
 pub const MAX_DESCRIPTORS: u64 = 1024;
 /// The message class whose messages are sent at most once.
--- a/crates/daemon/tests/memory/forwarder.rs
+++ b/crates/daemon/tests/memory/forwarder.rs
@@ -3,6 +3,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use serde_json::Value;
 
@@ -12,6 +13,9 @@
 use crate::temp_folder::TempFolder;
 use crate::wait::wait_for;
 
+/// The number of clients that submit messages at the same time.
+const SUBMITTING_CLIENTS: usize = 32;
+
 /// A running forwarder, killed when dropped.
 pub struct ForwarderProcess {
     process: KillOnDrop,
@@ -51,24 +55,37 @@
         }
     }
 
-    /// Submits messages to these many destinations in turn until one is rejected. Returns the number of accepted
-    /// messages.
-    pub fn submit_until_rejected(&self, destinations: u64, body: &str) -> u64 {
-        let mut stream = TcpStream::connect(self.address).unwrap();
-        let mut responses = BufReader::new(stream.try_clone().unwrap());
-        for number in 0.. {
-            let request = submission(&format!("m{number}"), number % destinations, body);
-            stream.write_all(request.as_bytes()).unwrap();
-            let status_line = read_status_line(&mut responses);
-            if status_line.contains(" 503 ") {
-                return number;
+    /// Submits messages to these many destinations in turn, on several connections at the same time, until one is
+    /// rejected or this number is reached. Returns the number of accepted messages.
+    pub fn submit_until_rejected(&self, destinations: u64, body: &str, max_messages: u64) -> u64 {
+        let next_number = AtomicU64::new(0);
+        let accepted = AtomicU64::new(0);
+        let rejected = AtomicBool::new(false);
+        std::thread::scope(|scope| {
+            for _ in 0..SUBMITTING_CLIENTS {
+                scope.spawn(|| {
+                    let mut stream = TcpStream::connect(self.address).unwrap();
+                    let mut responses = BufReader::new(stream.try_clone().unwrap());
+                    while !rejected.load(Ordering::Relaxed) {
+                        let number = next_number.fetch_add(1, Ordering::Relaxed);
+                        if number >= max_messages {
+                            return;
+                        }
+                        let request = submission(&format!("m{number}"), number % destinations, body);
+                        stream.write_all(request.as_bytes()).unwrap();
+                        let status_line = read_status_line(&mut responses);
+                        let counted = if status_line.contains(" 202 ") { 1 } else { 0 };
+                        accepted.fetch_add(counted, Ordering::Relaxed);
+                        rejected.fetch_or(status_line.contains(" 503 "), Ordering::Relaxed);
+                        assert!(
+                            counted == 1 || status_line.contains(" 503 "),
+                            "message {number}: expected 202 or 503, found {status_line}"
+                        );
+                    }
+                });
             }
-            assert!(
-                status_line.contains(" 202 "),
-                "message {number}: expected 202 or 503, found {status_line}"
-            );
-        }
-        unreachable!("messages without end were accepted")
+        });
+        accepted.into_inner()
     }
 }
 
--- a/crates/daemon/tests/memory/main.rs
+++ b/crates/daemon/tests/memory/main.rs
@@ -13,6 +13,7 @@
 
 mod deployment;
 mod forwarder;
+mod notices;
 mod platform;
 mod private_memory;
 mod receive_queue;
--- a/crates/daemon/tests/memory/platform.rs
+++ b/crates/daemon/tests/memory/platform.rs
@@ -12,13 +12,26 @@
 /// The interval at which a watch without changes sends an empty line.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// A platform that acknowledges notices, and that sends a list on each watch once a test has published one.
-#[derive(Clone, Default)]
+/// How the platform responds to notices.
+#[derive(Clone, Copy, PartialEq)]
+pub enum NoticeResponse {
+    Acknowledge,
+    /// Keeps the connection open and sends nothing.
+    Never,
+}
+
+/// A platform that sends a list on each watch once a test has published one.
+#[derive(Clone)]
 pub struct Platform {
     list: Arc<Mutex<Option<String>>>,
+    notice_response: NoticeResponse,
 }
 
 impl Platform {
+    pub fn new(notice_response: NoticeResponse) -> Platform {
+        Platform { list: Arc::default(), notice_response }
+    }
+
     /// Starts the platform and returns its address.
     pub fn start(&self) -> SocketAddr {
         start_stub(self, Platform::handle)
@@ -31,6 +44,9 @@
 
     fn handle(&self, request: &Request, stream: &mut TcpStream) -> Connection {
         if !request.line.starts_with("GET") {
+            if self.notice_response == NoticeResponse::Never {
+                return Connection::Keep;
+            }
             return Connection::keep_if_written(stream.write_all(NO_CONTENT_RESPONSE));
         }
         let list = wait_for("a published list", || self.list.lock().unwrap().clone());
--- a/crates/daemon/tests/memory/responses.rs
+++ b/crates/daemon/tests/memory/responses.rs
@@ -9,7 +9,7 @@
 
 use crate::deployment::{Deployment, MEMORY_LIMITS_MB};
 use crate::forwarder::ForwarderProcess;
-use crate::platform::Platform;
+use crate::platform::{NoticeResponse, Platform};
 use crate::receive_queue::ReceiveQueues;
 use crate::stub_server::{start_stub, Connection, Request, OK_RESPONSE};
 use crate::wait::wait_for;
@@ -94,7 +94,7 @@
         let deployment = Deployment { batch_limit: self.messages_per_request, ..deployment };
         let responses = EndlessResponses::new(self.beginning);
         let endpoint = start_stub(&responses, EndlessResponses::begin);
-        let platform = Platform::default();
+        let platform = Platform::new(NoticeResponse::Acknowledge);
         let platform_address = platform.start();
         let cached_list = deployment.endpoint_list(1, endpoint);
         let forwarder = ForwarderProcess::start("response-memory", |listen| {
--- a/crates/daemon/tests/memory/submissions.rs
+++ b/crates/daemon/tests/memory/submissions.rs
@@ -7,7 +7,7 @@
 
 use crate::deployment::{Deployment, MEMORY_LIMITS_MB};
 use crate::forwarder::{submission, ForwarderProcess};
-use crate::platform::Platform;
+use crate::platform::{NoticeResponse, Platform};
 use crate::receive_queue::ReceiveQueues;
 use crate::stub_server::{start_stub, Connection, Request};
 
@@ -15,6 +15,8 @@
 const CLIENTS: usize = 440;
 /// The number of clients that a forwarder with most descriptors accepts.
 const MAX_CLIENTS: usize = 520;
+/// The number of messages that are submitted at most, more than fit into the memory of any test.
+const MAX_MESSAGES: u64 = 10_000;
 /// The largest body of a message, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
@@ -30,7 +32,7 @@
 
 fn start_forwarder(deployment: Deployment) -> ForwarderProcess {
     let endpoint = start_stub(&(), never_respond);
-    let platform = Platform::default();
+    let platform = Platform::new(NoticeResponse::Acknowledge);
     platform.publish(json!({"generation": 1, "reset": false, "instances": []}).to_string());
     let platform_address = platform.start();
     let cached_list = deployment.endpoint_list(1, endpoint);
@@ -126,7 +128,7 @@
             ..Deployment::with_most_descriptors(memory_mb)
         };
         let forwarder = start_forwarder(deployment);
-        forwarder.submit_until_rejected(deployment.destinations, &body);
+        forwarder.submit_until_rejected(deployment.destinations, &body, MAX_MESSAGES);
         deployment.check_peak(forwarder.private_memory());
     }
 }
--- a/crates/forwarder/src/event_loop/mod.rs
+++ b/crates/forwarder/src/event_loop/mod.rs
@@ -57,7 +57,7 @@
     /// The minimum interval between two runs of the policy's due work, in which the policy processes the
     /// events since the last run and issues commands.
     pub tick: Duration,
-    /// The maximum total size of pending messages in memory, in bytes.
+    /// The maximum total size of pending messages and unacknowledged notices in memory, in bytes.
     pub max_message_bytes: u64,
 }
 
--- a/crates/forwarder/src/event_loop/state.rs
+++ b/crates/forwarder/src/event_loop/state.rs
@@ -14,6 +14,7 @@
 use super::new_submission::NewSubmission;
 use super::pending_messages::{PendingEntry, PendingMessages};
 use crate::endpoints::EndpointTable;
+use crate::limits::NOTICE_BYTES;
 
 /// The state of the event loop between its steps.
 #[derive(Default)]
@@ -105,6 +106,12 @@
         self.submissions.iter().map(|submission| submission.accepted.reserved_bytes()).sum()
     }
 
+    /// Returns the memory of pending messages, submissions and unacknowledged notices, in bytes.
+    pub(super) fn memory_bytes(&self) -> u64 {
+        let notices = self.unacknowledged_notices as u64 * NOTICE_BYTES;
+        self.pending.bytes() + self.submitted_bytes() + notices
+    }
+
     fn take_submission(&mut self, id: &MessageId) -> Option<NewSubmission> {
         let position = self.submissions.iter().position(|submission| submission.id == *id)?;
         Some(self.submissions.remove(position))
--- a/crates/forwarder/src/event_loop/submissions.rs
+++ b/crates/forwarder/src/event_loop/submissions.rs
@@ -81,9 +81,9 @@
     /// Returns whether memory and disk have capacity for one more message, in addition to the submissions
     /// since the last run of due work.
     fn has_capacity_for(&mut self, accepted: &AcceptedMessage) -> bool {
-        let new_bytes = self.state.submitted_bytes() + accepted.reserved_bytes();
-        let memory_bytes = self.state.pending().bytes() + new_bytes;
-        let has_capacity = new_bytes <= self.log.free_bytes() && memory_bytes <= self.max_message_bytes;
+        let disk_bytes = self.state.submitted_bytes() + accepted.reserved_bytes();
+        let memory_bytes = self.state.memory_bytes() + accepted.reserved_bytes();
+        let has_capacity = disk_bytes <= self.log.free_bytes() && memory_bytes <= self.max_message_bytes;
         if !has_capacity {
             if let Some(suppressed) = self.throttles.capacity.admit() {
                 tracing::warn!(
--- a/crates/forwarder/src/limits.rs
+++ b/crates/forwarder/src/limits.rs
@@ -37,7 +37,8 @@
     pub response_head_bytes: usize,
     /// The maximum total capacity of the bodies of client requests that have no response yet, in bytes.
     pub request_body_bytes: u64,
-    /// The maximum total size of pending messages in memory, in bytes.
+    /// The maximum total size of pending messages and of notices that the platform has not acknowledged, in bytes
+    /// of memory.
     pub message_bytes: u64,
 }
 
@@ -104,6 +105,10 @@
 /// The maximum number of events that are queued for the event loop, which handles at most 256 in one step.
 const EVENT_QUEUE_CAPACITY: usize = 1024;
 
+/// The memory that a notice takes until the platform has acknowledged it, in bytes, its entry in the write-ahead
+/// log's index included.
+pub(crate) const NOTICE_BYTES: u64 = 512;
+
 /// The minimum of the limit on a message head, in bytes. The HTTP library accepts no lower one.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 /// The maximum length of a request head, in bytes.
