A list whose entries would outgrow the memory is refused

What callers could see: a list with long names, or more entries than the memory has room for, brings the forwarder over its limit: it is killed, and killed again at each start, since discovery sends the list again.

Cause: `ListLimits` had one fixed limit on entries (1,000,000) and one on the size of an entry (64 KiB), whatever the memory. Up to 256 entries were decoded before they were passed on, 16 MB at the largest.

Change: an entry counts twice its size and at least 400 bytes against the memory of the forwarder; a part of the list beyond it is refused like a malformed one, so that the former list stays, the log and the health check say why, and the backoff by size holds. Entries are passed on after 128 KiB at the latest. 320,000 endpoints still fit into 128 MB.

--- a/crates/daemon/tests/list_log.rs
+++ b/crates/daemon/tests/list_log.rs
@@ -2,6 +2,8 @@
 
 #[path = "support/health.rs"]
 mod health;
+#[path = "support/log_line.rs"]
+mod log_line;
 #[path = "support/process.rs"]
 mod process;
 #[path = "support/temp_folder.rs"]
@@ -13,7 +15,8 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
 
-use health::{health_check, listening_address};
+use health::health_check;
+use log_line::listening_address;
 use process::{serve_command, KillOnDrop};
 use temp_folder::TempFolder;
 
--- a/crates/daemon/tests/memory/deployment.rs
+++ b/crates/daemon/tests/memory/deployment.rs
@@ -48,6 +48,13 @@
         assert!(peak < half, "{peak} bytes of private memory, expected less than {half} of {memory_mb} MB");
     }
 
+    /// Checks that the forwarder stayed below its memory limit. `memory` is its private memory in bytes.
+    pub fn check_below_limit(&self, memory: u64) {
+        let limit = self.memory_mb * BYTES_PER_MEGABYTE;
+        println!("{memory} bytes of private memory at a limit of {limit}");
+        assert!(memory < limit, "{memory} bytes of private memory, expected less than {limit}");
+    }
+
     /// Returns half of the memory limit in bytes, which the forwarder aims to stay below.
     fn half_of_memory(&self) -> u64 {
         self.memory_mb * BYTES_PER_MEGABYTE / 2
--- a/crates/daemon/tests/memory/main.rs
+++ b/crates/daemon/tests/memory/main.rs
@@ -2,6 +2,8 @@
 
 #[path = "../support/configuration.rs"]
 mod configuration;
+#[path = "../support/health.rs"]
+mod health;
 #[path = "../support/process.rs"]
 mod process;
 #[path = "../support/stub_server.rs"]
@@ -13,6 +15,7 @@
 
 mod deployment;
 mod forwarder;
+mod lists;
 mod notices;
 mod platform;
 mod private_memory;
--- a/crates/daemon/tests/restarts.rs
+++ b/crates/daemon/tests/restarts.rs
@@ -4,6 +4,8 @@
 mod configuration;
 #[path = "support/health.rs"]
 mod health;
+#[path = "support/log_line.rs"]
+mod log_line;
 #[path = "support/process.rs"]
 mod process;
 #[path = "support/stub_server.rs"]
@@ -25,7 +27,8 @@
 use std::time::{Duration, Instant};
 
 use configuration::{list_entry, message_class};
-use health::{health_check, listening_address};
+use health::health_check;
+use log_line::listening_address;
 use process::{serve_command, KillOnDrop};
 use reeddock_wal::inspect;
 use serde_json::{json, Value};
--- a/crates/daemon/tests/support/health.rs
+++ b/crates/daemon/tests/support/health.rs
@@ -1,4 +1,4 @@
-//! Listening address and health check of a forwarder.
+//! Health check of a forwarder.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -6,11 +6,6 @@
 
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Returns the listening address in a log line; `None` if the line has none.
-pub fn listening_address(log_line: &str) -> Option<SocketAddr> {
-    log_line.split_once("listen=").and_then(|(_, address)| address.trim().parse().ok())
-}
-
 /// Sends a health check and returns the complete response.
 pub fn health_check(address: SocketAddr) -> String {
     let mut stream = TcpStream::connect(address).unwrap();
--- a/crates/forwarder/src/discovery.rs
+++ b/crates/forwarder/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use reeddock_protocol::{parse_retry_after, watch_request};
+use reeddock_protocol::{parse_retry_after, watch_request, ListLimits};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep_until, timeout_at, Instant};
 
@@ -23,11 +23,12 @@
 /// Watches the endpoint list until the event loop ends.
 ///
 /// `generation` is the generation of the list that the event loop already has. The first watch requests the
-/// changes after that generation.
+/// changes after that generation. A list that exceeds `list_limits` is refused.
 pub async fn watch_endpoint_list(
     mut address: watch::Receiver<SocketAddr>,
     generation: u64,
     mut schedule: WatchSchedule,
+    list_limits: ListLimits,
     event_loop: mpsc::Sender<Event>,
 ) {
     let start = Instant::now();
@@ -39,6 +40,7 @@
             discovery: *address.borrow_and_update(),
             response_deadline: start + schedule.request_started(start.elapsed()),
             timings: schedule.timings(),
+            list_limits,
         };
         let loss = tokio::select! {
             loss = request.run(&mut progress, &event_loop) => Some(loss),
@@ -80,6 +82,7 @@
     /// The time at which the request is cancelled if no response has arrived.
     response_deadline: Instant,
     timings: WatchTimings,
+    list_limits: ListLimits,
 }
 
 impl WatchRequest {
@@ -106,6 +109,8 @@
                 retry_after: parse_retry_after(&head),
             };
         }
-        ListReader::new(progress, event_loop).read(connection, body, self.timings.idle_timeout).await
+        ListReader::new(progress, event_loop, self.list_limits)
+            .read(connection, body, self.timings.idle_timeout)
+            .await
     }
 }
--- a/crates/forwarder/src/limits.rs
+++ b/crates/forwarder/src/limits.rs
@@ -37,6 +37,9 @@
     pub response_head_bytes: usize,
     /// The maximum total capacity of the bodies of client requests that have no response yet, in bytes.
     pub request_body_bytes: u64,
+    /// The maximum memory of the entries in one part of the endpoint list, in bytes. Names of endpoints take half
+    /// of it at most.
+    pub list_bytes: u64,
     /// The maximum total size of pending messages and of notices that the platform has not acknowledged, in bytes
     /// of memory.
     pub message_bytes: u64,
@@ -48,7 +51,8 @@
         write!(
             f,
             "client connections: {} accepted, {} served, {} kept alive, {} lingering; connections to endpoints: {}; \
-             queued events: {}; bytes of a request head: {}, of a response head: {}, of all request bodies: {}; bytes of pending messages: {}",
+             queued events: {}; bytes of a request head: {}, of a response head: {}, of all request bodies: {}, of a list: {}; bytes of \
+             pending messages: {}",
             self.accepted_clients,
             self.served_clients,
             self.keep_alive_clients,
@@ -58,6 +62,7 @@
             self.request_head_bytes,
             self.response_head_bytes,
             self.request_body_bytes,
+            self.list_bytes,
             self.message_bytes
         )
     }
@@ -170,6 +175,7 @@
             ),
             // The remaining memory is for the other buffers of connections, the endpoint list and the program.
             request_body_bytes: resources.memory_bytes / 8,
+            list_bytes: resources.memory_bytes,
             message_bytes: resources.memory_bytes / 4,
         }
     }
--- a/crates/forwarder/src/list_reader.rs
+++ b/crates/forwarder/src/list_reader.rs
@@ -7,7 +7,7 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use reeddock_protocol::{ListDecoder, ListEvent};
+use reeddock_protocol::{ListDecoder, ListEvent, ListLimits};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
@@ -19,6 +19,8 @@
 /// The maximum number of list events that the event loop applies in one step, which limits the length of a
 /// step.
 pub const MAX_LIST_EVENTS_PER_CHUNK: usize = 256;
+/// The size on the wire at which a chunk is sent although it has fewer events, in bytes.
+const MAX_LIST_BYTES_PER_CHUNK: u64 = 128 * 1024;
 /// The maximum number of chunks that are queued for the event loop. When the queue is full, the reader waits
 /// and so applies backpressure to discovery.
 pub const MAX_QUEUED_LIST_CHUNKS: usize = 2;
@@ -45,17 +47,24 @@
     part_generation: Option<u64>,
     /// Decoded events that were not sent to the event loop yet.
     chunk: Vec<ListEvent>,
+    /// The number of bytes that were consumed when the current chunk was begun.
+    chunk_start: u64,
     progress: &'w mut WatchProgress,
     event_loop: &'w mpsc::Sender<Event>,
 }
 
 impl<'w> ListReader<'w> {
     /// Returns a reader at the start of a watch. The reader updates `progress`.
-    pub(crate) fn new(progress: &'w mut WatchProgress, event_loop: &'w mpsc::Sender<Event>) -> Self {
+    pub(crate) fn new(
+        progress: &'w mut WatchProgress,
+        event_loop: &'w mpsc::Sender<Event>,
+        limits: ListLimits,
+    ) -> Self {
         ListReader {
-            decoder: ListDecoder::default(),
+            decoder: ListDecoder::new(limits),
             part_generation: None,
             chunk: Vec::new(),
+            chunk_start: 0,
             progress,
             event_loop,
         }
@@ -109,7 +118,8 @@
             if event != ListEvent::Heartbeat || is_first_line {
                 self.chunk.push(event);
             }
-            if self.chunk.len() >= MAX_LIST_EVENTS_PER_CHUNK {
+            let chunk_bytes = self.decoder.consumed_bytes() - self.chunk_start;
+            if self.chunk.len() >= MAX_LIST_EVENTS_PER_CHUNK || chunk_bytes >= MAX_LIST_BYTES_PER_CHUNK {
                 self.send_chunk().await?;
             }
         }
@@ -117,6 +127,7 @@
 
     /// Sends the current chunk to the event loop, unless the chunk is empty.
     async fn send_chunk(&mut self) -> Result<(), ReadError> {
+        self.chunk_start = self.decoder.consumed_bytes();
         if self.chunk.is_empty() {
             return Ok(());
         }
--- a/crates/forwarder/src/serve.rs
+++ b/crates/forwarder/src/serve.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use reeddock_protocol::ListLimits;
 use reeddock_wal::WriteAheadLog;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -77,6 +78,7 @@
         options.discovery,
         cached_generation,
         schedule,
+        ListLimits::default().with_memory(limits.list_bytes),
         list_events,
     ));
     background.spawn(sweep_connections(connections));
--- a/crates/forwarder/tests/loopback/watch.rs
+++ b/crates/forwarder/tests/loopback/watch.rs
@@ -9,6 +9,7 @@
 use reeddock_forwarder::discovery::watch_endpoint_list;
 use reeddock_forwarder::events::Event;
 use reeddock_forwarder::watch_schedule::{WatchSchedule, WatchTimings};
+use reeddock_protocol::ListLimits;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -155,7 +156,8 @@
     let (sender, mut events) = mpsc::channel(16);
     let address = watch::Sender::new(discovery.address);
     let schedule = WatchSchedule::new(short_timings(), seed);
-    let watching = tokio::spawn(watch_endpoint_list(address.subscribe(), 1, schedule, sender));
+    let watching =
+        tokio::spawn(watch_endpoint_list(address.subscribe(), 1, schedule, ListLimits::default(), sender));
     while matches!(events.recv().await.expect("expected the watch to continue"), Event::WatchLost) {}
     watching.abort();
 }
--- a/crates/protocol/src/error.rs
+++ b/crates/protocol/src/error.rs
@@ -106,6 +106,12 @@
         /// The limit, [`ListLimits::max_entries`](crate::ListLimits::max_entries).
         limit: usize,
     },
+    /// The entries of a part of the endpoint list need too much memory.
+    #[error("expected a part of the list whose entries take at most {limit} bytes of memory")]
+    EntriesTooLarge {
+        /// The limit, [`ListLimits::max_memory_bytes`](crate::ListLimits::max_memory_bytes).
+        limit: usize,
+    },
     /// Too many bytes of entries precede `generation` or `reset` in a part of the endpoint list.
     #[error(
         "expected generation and reset before instances, or at most {limit} bytes of instances before them"
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -23,7 +23,9 @@
 pub use batch_response::{BatchResponseDecoder, BodyEnd};
 pub use client_response::{ClientResponse, ConnectionOption};
 pub use error::{EntryError, ListError, ListFault, ListLocation, ListPartError, SubmissionError};
-pub use list::{watch_request, ListDecoder, ListEntry, ListEvent, ListLimits, ListPart};
+pub use list::{
+    watch_request, ListDecoder, ListEntry, ListEvent, ListLimits, ListPart, MIN_ENTRY_MEMORY_BYTES,
+};
 pub use notice::{notices_request, DeliveryNotice, FinalAnswer};
 pub use request::{batch_request, single_request, split_into_batches, OutgoingMessage};
 pub use response::{
--- a/crates/protocol/src/list/event.rs
+++ b/crates/protocol/src/list/event.rs
@@ -30,11 +30,31 @@
     /// Maximum size of the entries that precede `generation` or `reset`, in bytes. These entries are buffered
     /// until both are known.
     pub max_buffered_bytes: usize,
+    /// Maximum memory of the entries of one part, in bytes. An entry counts twice its size and at least
+    /// [`MIN_ENTRY_MEMORY_BYTES`], unless its endpoint is removed.
+    pub max_memory_bytes: usize,
+}
+
+/// The memory that the receiver of a list needs at least for an endpoint, in bytes.
+pub const MIN_ENTRY_MEMORY_BYTES: usize = 400;
+
+impl ListLimits {
+    /// Returns these limits with the memory that the receiver has for a list, in bytes.
+    #[must_use]
+    pub fn with_memory(self, memory_bytes: u64) -> ListLimits {
+        ListLimits { max_memory_bytes: usize::try_from(memory_bytes).unwrap_or(usize::MAX), ..self }
+    }
 }
 
 impl Default for ListLimits {
-    /// Returns limits for the largest supported list and for buffering a fraction of it.
+    /// Returns limits for the largest supported list and for buffering a fraction of it, without a limit on the
+    /// memory.
     fn default() -> ListLimits {
-        ListLimits { max_entries: 1_000_000, max_value_bytes: 64 * 1024, max_buffered_bytes: 8 * 1024 * 1024 }
+        ListLimits {
+            max_entries: 1_000_000,
+            max_value_bytes: 64 * 1024,
+            max_buffered_bytes: 8 * 1024 * 1024,
+            max_memory_bytes: usize::MAX,
+        }
     }
 }
--- a/crates/protocol/src/list/mod.rs
+++ b/crates/protocol/src/list/mod.rs
@@ -20,7 +20,7 @@
 use crate::ListPartError;
 pub use decoder::ListDecoder;
 pub use entry::ListEntry;
-pub use event::{ListEvent, ListLimits};
+pub use event::{ListEvent, ListLimits, MIN_ENTRY_MEMORY_BYTES};
 
 /// One part of a watch response: the full endpoint list or its changes.
 #[derive(Debug, PartialEq)]
--- a/crates/protocol/src/list/part_progress.rs
+++ b/crates/protocol/src/list/part_progress.rs
@@ -2,7 +2,9 @@
 
 use std::collections::VecDeque;
 
-use super::{ListEntry, ListEvent, ListLimits};
+use reeddock::EndpointState;
+
+use super::{ListEntry, ListEvent, ListLimits, MIN_ENTRY_MEMORY_BYTES};
 use crate::ListFault;
 
 /// A part of the endpoint list that has not ended yet. Entries that precede the part's `generation` or
@@ -20,6 +22,8 @@
     buffered: VecDeque<ListEntry>,
     /// Total size of the buffered entries on the wire.
     buffered_bytes: usize,
+    /// The memory of all entries so far, in bytes.
+    memory_bytes: usize,
 }
 
 impl PartProgress {
@@ -46,6 +50,12 @@
         ready: &mut VecDeque<ListEvent>,
     ) -> Result<(), ListFault> {
         self.entries += 1;
+        if entry.state != EndpointState::Removed {
+            self.memory_bytes += (2 * bytes).max(MIN_ENTRY_MEMORY_BYTES);
+        }
+        if self.memory_bytes > limits.max_memory_bytes {
+            return Err(ListFault::EntriesTooLarge { limit: limits.max_memory_bytes });
+        }
         if self.is_started {
             ready.push_back(ListEvent::EndpointUpdated(entry));
             return Ok(());
--- a/crates/protocol/tests/list_decoder.rs
+++ b/crates/protocol/tests/list_decoder.rs
@@ -201,7 +201,8 @@
     }
 }
 
-const SMALL_LIMITS: ListLimits = ListLimits { max_entries: 3, max_value_bytes: 80, max_buffered_bytes: 100 };
+const SMALL_LIMITS: ListLimits =
+    ListLimits { max_entries: 3, max_value_bytes: 80, max_buffered_bytes: 100, max_memory_bytes: 1_000 };
 
 /// `generation` and `reset` before the entries, where discovery sends them.
 const LEADING_KEYS: &str = "\"generation\":1,\"reset\":true,";
@@ -247,6 +248,28 @@
     );
 }
 
+/// Guards against entries that fit into the other limits and not into the memory.
+#[test]
+fn entries_are_limited_by_the_memory_that_they_take() {
+    let listed = |name: &str| entry_named(name).replace("Gone", r#"Ready","hostPort":"10.0.0.1:80"#);
+    let limits = ListLimits { max_value_bytes: 1_000, ..SMALL_LIMITS };
+    let part = |entries: &[String]| {
+        let text = format!("{{{LEADING_KEYS}\"instances\":[{}]}}\n", entries.join(","));
+        decode_with_limits(limits, &[text.as_bytes()])
+    };
+    // An entry takes 400 bytes at least.
+    assert_eq!(part(&vec![listed("a"); 2]).error, None);
+    let error = part(&vec![listed("a"); 3]).error.unwrap();
+    assert!(
+        error.ends_with("expected a part of the list whose entries take at most 1000 bytes of memory"),
+        "{error}"
+    );
+    // A longer entry takes twice its size. An endpoint that is removed takes none.
+    assert_eq!(part(&[listed(&"a".repeat(400))]).error, None);
+    assert!(part(&[listed(&"a".repeat(500))]).error.is_some());
+    assert_eq!(part(&vec![entry_named(&"a".repeat(500)); 3]).error, None);
+}
+
 #[test]
 fn unknown_key_is_ignored_whatever_the_length_of_its_value() {
     let noise = format!("\"noise\":[\"]{}\"],{LEADING_KEYS}", "x".repeat(1000));
