Memory: a seeded soak of mixed input, and endless heads, chunks and trailers

Cause: each place that keeps bytes from outside had a test of its own; nothing played them together, and interim responses, chunk extensions and trailers without end had none.

The responses' tests begin with an empty list, so that no time limit decides which messages share a request.

--- a/crates/daemon/tests/memory/main.rs
+++ b/crates/daemon/tests/memory/main.rs
@@ -21,4 +21,5 @@
 mod private_memory;
 mod receive_queue;
 mod responses;
+mod soak;
 mod submissions;
--- a/crates/daemon/tests/memory/responses.rs
+++ b/crates/daemon/tests/memory/responses.rs
@@ -62,7 +62,7 @@
 
     /// Waits until this number of responses has begun, and returns their connections.
     fn wait_until_begun(&self, count: u64) -> Vec<TcpStream> {
-        let all_begun = || (self.streams.lock().unwrap().len() as u64 == count).then_some(());
+        let all_begun = || (self.streams.lock().unwrap().len() as u64 >= count).then_some(());
         wait_for("all responses to begin", all_begun);
         std::mem::take(&mut *self.streams.lock().unwrap())
     }
@@ -96,17 +96,17 @@
         let endpoint = start_stub(&responses, EndlessResponses::begin);
         let platform = Platform::new(NoticeResponse::Acknowledge);
         let platform_address = platform.start();
-        let cached_list = deployment.endpoint_list(1, endpoint);
+        let empty_list = json!({"generation": 1, "reset": true, "instances": []});
         let forwarder = ForwarderProcess::start("response-memory", |listen| {
-            deployment.config(listen, platform_address, &cached_list)
+            deployment.config(listen, platform_address, &empty_list)
         });
-        // The messages of one destination are sent together, because they wait until the list is confirmed.
+        // The messages of one destination are sent together, because they wait until it has an endpoint.
         let messages_per_request = self.messages_per_request;
         let messages = (0..deployment.destinations - 1).flat_map(|destination| {
             (0..messages_per_request).map(move |n| (format!("m{destination}-{n}"), destination))
         });
         forwarder.submit_all(messages);
-        platform.publish(json!({"generation": 1, "reset": false, "instances": []}).to_string());
+        platform.publish(deployment.endpoint_list(2, endpoint).to_string());
         let mut streams = responses.wait_until_begun(deployment.destinations - 1);
         let sent_in_batches = responses.batches.load(Ordering::Relaxed) == deployment.destinations - 1;
         assert_eq!(sent_in_batches, self.messages_per_request > 1, "messages per request");
@@ -178,3 +178,22 @@
         deployment.check_peak(scenario.peak_memory(deployment));
     }
 }
+
+/// Guards against interim responses without end.
+#[test]
+fn interim_responses_that_go_on_take_no_memory() {
+    Scenario::new("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Hints\r\nx-pad: zzzzzzzz\r\n\r\n").check();
+}
+
+/// Guards against a chunk whose extension has no end.
+#[test]
+fn chunk_extension_that_goes_on_takes_no_memory() {
+    Scenario::new("HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n1;pad=", BODY_PIECE).check();
+}
+
+/// Guards against trailers without end.
+#[test]
+fn trailers_that_go_on_take_little_memory() {
+    let piece = "x-pad: zzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzz\r\n";
+    Scenario::new("HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", piece).check();
+}
