A submission rejected for want of memory for its body is in the log

Cause: the 503 of a body beyond the memory for bodies had no log line, so that an operator could not tell it from a full queue.

Measured: tests of the package forwarder pass; no test reads the line.

--- a/crates/forwarder/src/ingress/accept.rs
+++ b/crates/forwarder/src/ingress/accept.rs
@@ -13,13 +13,13 @@
 
 use super::client_connection::ClientConnection;
 use super::clients::ClientConnections;
+use super::request_body::BodyMemory;
 use super::service::{ConnectionCapacity, IngressService};
 use super::serving::ServedConnection;
 use crate::connections::is_resource_exhausted;
 use crate::events::Event;
 use crate::limits::Limits;
 use crate::log_throttle::LogThrottle;
-use crate::memory_budget::MemoryBudget;
 
 /// The delay before accepting is retried when this machine has no capacity for another connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -38,7 +38,7 @@
 ) -> JoinSet<()> {
     let connection_permits = Arc::new(Semaphore::new(limits.accepted_clients));
     let linger_permits = Arc::new(Semaphore::new(limits.lingering_clients));
-    let body_memory = MemoryBudget::new(limits.request_body_bytes);
+    let body_memory = Arc::new(BodyMemory::new(limits.request_body_bytes));
     let closing = clients.closing();
     let log_throttle = LogThrottle::default();
     let tasks = JoinSet::new();
@@ -69,7 +69,7 @@
     /// One permit for each closed connection that is still read from.
     linger_permits: Arc<Semaphore>,
     /// The memory for the bodies of requests.
-    body_memory: MemoryBudget,
+    body_memory: Arc<BodyMemory>,
     closing: watch::Receiver<bool>,
     log_throttle: LogThrottle,
     /// One task for each connection that is served.
--- a/crates/forwarder/src/ingress/request_body.rs
+++ b/crates/forwarder/src/ingress/request_body.rs
@@ -3,6 +3,7 @@
 //! The frames in which the HTTP library returns a body are not kept. Each keeps a read buffer of its connection
 //! alive, so that a body in small pieces would take many times its length.
 
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +12,8 @@
 use reeddock_protocol::{ClientResponse, SubmissionError, MAX_BODY_BYTES};
 use tokio::time::timeout;
 
+use crate::connections::lock;
+use crate::log_throttle::LogThrottle;
 use crate::memory_budget::{BudgetExceeded, MemoryBudget, MemoryGrant};
 
 /// The time limit for receiving a body, counted from the end of the request head.
@@ -18,6 +21,26 @@
 /// The step in which the buffer of a body grows as the body is received, in bytes.
 const GROWTH_STEP: usize = 4 * 1024;
 
+/// The memory for the bodies of all requests.
+pub(super) struct BodyMemory {
+    budget: MemoryBudget,
+    /// Limits log lines about bodies that exceed the budget.
+    log_throttle: Mutex<LogThrottle>,
+}
+
+impl BodyMemory {
+    /// Creates the memory for bodies whose capacities sum up to at most `bytes`.
+    pub(super) fn new(bytes: u64) -> BodyMemory {
+        BodyMemory { budget: MemoryBudget::new(bytes), log_throttle: Mutex::default() }
+    }
+
+    fn log_exceeded(&self, body_bytes: usize) {
+        if let Some(suppressed) = lock(&self.log_throttle).admit() {
+            tracing::warn!(body_bytes, suppressed, "submission rejected, no memory for its body");
+        }
+    }
+}
+
 /// A body that was received completely.
 pub(super) struct ReceivedBody {
     /// The length of the body in bytes.
@@ -36,12 +59,17 @@
 
 /// Reads a whole body within the limits of size and time. A body that exceeds the memory budget is read to its
 /// end and discarded, so that the connection can be used again. The error is the response to the request.
-pub(super) async fn read_body(body: Incoming, budget: &MemoryBudget) -> Result<ReceivedBody, ClientResponse> {
+pub(super) async fn read_body(body: Incoming, memory: &BodyMemory) -> Result<ReceivedBody, ClientResponse> {
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(ClientResponse::TooLarge);
     }
-    let buffer = BodyBuffer::new(expected_length(&body), budget);
-    timeout(BODY_TIMEOUT, receive(body, buffer)).await.unwrap_or(Err(ClientResponse::RequestTimeout))
+    let buffer = BodyBuffer::new(expected_length(&body), &memory.budget);
+    let received = timeout(BODY_TIMEOUT, receive(body, buffer)).await;
+    let body = received.unwrap_or(Err(ClientResponse::RequestTimeout))?;
+    if body.content.is_err() {
+        memory.log_exceeded(body.length);
+    }
+    Ok(body)
 }
 
 /// Returns the length that the request head declares, at most [`MAX_BODY_BYTES`].
--- a/crates/forwarder/src/ingress/service.rs
+++ b/crates/forwarder/src/ingress/service.rs
@@ -18,9 +18,9 @@
 
 use super::client_connection::ClientConnection;
 use super::clients::ClientConnections;
-use super::request_body::{read_body, BodyContent};
+use super::request_body::{read_body, BodyContent, BodyMemory};
 use crate::events::Event;
-use crate::memory_budget::{BudgetExceeded, MemoryBudget};
+use crate::memory_budget::BudgetExceeded;
 
 /// Whether a connection is within the limit of served connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,7 +39,7 @@
     pub(super) event_loop: mpsc::Sender<Event>,
     pub(super) capacity: ConnectionCapacity,
     /// The memory for the bodies of all requests, until their responses.
-    pub(super) body_memory: MemoryBudget,
+    pub(super) body_memory: Arc<BodyMemory>,
     /// While more connections than this are open, each connection is closed after its response.
     pub(super) keep_alive_limit: usize,
 }
