--- a/crates/forwarder/src/limits.rs
+++ b/crates/forwarder/src/limits.rs
@@ -51,8 +51,8 @@
         write!(
             f,
             "client connections: {} accepted, {} served, {} kept alive, {} lingering; connections to endpoints: {}; \
-             queued events: {}; bytes of a request head: {}, of a response head: {}, of all request bodies: {}, of a list: {}; bytes of \
-             pending messages: {}",
+             queued events: {}; bytes of a request head: {}, of a response head: {}, of all request bodies: {}, \
+             of a list: {}; bytes of pending messages: {}",
             self.accepted_clients,
             self.served_clients,
             self.keep_alive_clients,
