Request sender: the sent batch and the rest of responses have their own files

Change: `SentBatch` and `ResponseRemainders` moved; waiting for the rest of a response is a method of the latter. No change of behaviour.

--- a/crates/forwarder/src/request_sender/mod.rs
+++ b/crates/forwarder/src/request_sender/mod.rs
@@ -4,14 +4,18 @@
 //! | --- | --- |
 //! | `request` | requests and their results |
 //! | `response_body` | reads response bodies in bounded memory |
+//! | `response_remainder` | reads the rest of responses whose results are known |
 //! | `send_state` | tracks which messages of a batch are sent when its connection is open |
+//! | `sent_batch` | the messages that a request carries when it is sent |
 //! | `sender` | sends a request on a connection and reads its response |
 //! | `supervisor` | applies time limits and cancellations to a request in flight, and reports results |
 
 mod request;
 mod response_body;
+mod response_remainder;
 mod send_state;
 mod sender;
+mod sent_batch;
 mod supervisor;
 
 pub use request::{BatchMessage, EndpointRequest, MessageResult, PendingAttempt, RequestResult};
--- a/crates/forwarder/src/request_sender/sender.rs
+++ b/crates/forwarder/src/request_sender/sender.rs
@@ -2,33 +2,22 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::SocketAddr;
 use std::pin::{pin, Pin};
-use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use reeddock::EndpointId;
-use reeddock_protocol::{
-    self as protocol, AttemptResult, BatchResponseDecoder, BodyEnd, OutgoingMessage, ResponseHead,
-};
-use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout, Instant};
+use reeddock_protocol::{AttemptResult, BatchResponseDecoder, BodyEnd, ResponseHead};
+use tokio::time::{sleep, timeout};
 use tower::Service;
 
 use super::request::{BatchMessage, EndpointRequest, MessageResult, RequestResult};
-use super::response_body::{discard_body, read_body, IncompleteBody};
-use crate::connections::{lock, Connection, ConnectionPool};
-
-/// How long the rest of a response is read before a known result is returned. A connection whose response
-/// ends within this time is in the pool before its result is reported.
-const REMAINDER_WAIT_BEFORE_RESULT: Duration = Duration::from_millis(20);
-/// How long the rest of a response is read in the background before the connection is closed.
-const REMAINDER_READ_TIMEOUT: Duration = Duration::from_secs(2);
+use super::response_body::{read_body, IncompleteBody};
+use super::response_remainder::{ResponseRemainder, ResponseRemainders, REMAINDER_WAIT_BEFORE_RESULT};
+use super::sent_batch::SentBatch;
+use crate::connections::{Connection, ConnectionPool};
 
 /// Sends requests to endpoints. Dropping the future of a request closes its connection and cancels the
 /// request.
@@ -53,22 +42,6 @@
     }
 }
 
-/// The tasks that read the rest of responses whose results are known. No task holds a clone of this value, so
-/// that dropping the last clone aborts the tasks.
-#[derive(Clone, Default)]
-struct ResponseRemainders(Arc<Mutex<JoinSet<()>>>);
-
-impl ResponseRemainders {
-    /// Starts a task that reads the rest of a response within `REMAINDER_READ_TIMEOUT`.
-    fn spawn(&self, remainder: impl Future<Output = ()> + Send + 'static) {
-        let mut tasks = lock(&self.0);
-        while tasks.try_join_next().is_some() {}
-        tasks.spawn(async {
-            let _ = timeout(REMAINDER_READ_TIMEOUT, remainder).await;
-        });
-    }
-}
-
 impl Service<EndpointRequest> for RequestSender {
     type Response = RequestResult;
     type Error = Infallible;
@@ -89,38 +62,6 @@
     }
 }
 
-/// The messages of a request that are sent, and their positions in the request. Never empty.
-struct SentBatch {
-    positions: Vec<usize>,
-    messages: Vec<OutgoingMessage>,
-    /// The latest response deadline of the messages, sent to the endpoint as a time limit.
-    response_deadline: Instant,
-}
-
-impl SentBatch {
-    /// Returns the message of a request that carries only one. `None` for a batch.
-    fn single_message(&self) -> Option<&OutgoingMessage> {
-        match &self.messages[..] {
-            [message] => Some(message),
-            _ => None,
-        }
-    }
-
-    /// Builds the HTTP request that carries the messages, with the longest of their time limits.
-    fn http_request(&self, address: SocketAddr) -> Result<Request<Full<Bytes>>, AttemptResult> {
-        let response_timeout = self.response_deadline.saturating_duration_since(Instant::now());
-        let request = match self.single_message() {
-            Some(message) => protocol::single_request(address, message, response_timeout),
-            None => protocol::batch_request(address, &self.messages, response_timeout),
-        };
-        request.map_err(|_| AttemptResult::NotSent)
-    }
-
-    fn same_for_all(&self, result: AttemptResult) -> RequestResult {
-        RequestResult::same_for_all(self.positions.iter().copied(), result)
-    }
-}
-
 /// The outcome of sending a request on a connection, up to the head of its response.
 enum ExchangeOutcome {
     /// The response head was received, or the request failed.
@@ -216,7 +157,8 @@
             self.connections.connection_rejected(self.request.endpoint);
         }
         let result = if single && head.result == AttemptResult::Completed {
-            self.finish_in_background(connection, body).await;
+            let remainder = ResponseRemainder { endpoint: self.request.endpoint, connection, body };
+            self.remainders.read(&self.connections, remainder).await;
             batch.same_for_all(AttemptResult::Completed)
         } else {
             self.read_whole_response(connection, &head, body, batch).await
@@ -224,16 +166,6 @@
         RequestResult { load_report: head.load_report, ..result }
     }
 
-    /// Reads the rest of a response whose result is known, so that the connection can be reused. After a
-    /// short wait the rest is read in the background.
-    async fn finish_in_background(&self, connection: Connection, body: Incoming) {
-        let remainder = read_remainder(self.connections.clone(), self.request.endpoint, connection, body);
-        let mut remainder = Box::pin(remainder);
-        if timeout(REMAINDER_WAIT_BEFORE_RESULT, &mut remainder).await.is_err() {
-            self.remainders.spawn(remainder);
-        }
-    }
-
     /// Waits until the body of a response is read.
     ///
     /// If the body is late, the `Retry-After` of the head is reported first, because the wait counts from the
@@ -302,16 +234,3 @@
         }
     }
 }
-
-/// Reads the rest of a response and returns its connection to the pool.
-async fn read_remainder(
-    connections: ConnectionPool,
-    endpoint: EndpointId,
-    mut connection: Connection,
-    body: Incoming,
-) {
-    let complete = discard_body(body).await.is_ok();
-    if complete && connection.ready().await {
-        connections.release(endpoint, connection);
-    }
-}
