Memory tests: the forwarder selects its port, the test reads it from the log

Other tests of the same binary open listeners and thousands of connections meanwhile, and one of them can hold that port.

Change: the forwarder listens on port 0, and the test waits for the address in its log. No check and no bound changed.

--- a/crates/daemon/tests/memory/forwarder.rs
+++ b/crates/daemon/tests/memory/forwarder.rs
@@ -1,13 +1,15 @@
 //! A forwarder process whose memory and responses a test observes.
 
+use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use serde_json::Value;
 
 use crate::deployment::AT_MOST_ONCE;
+use crate::log_line::listening_address;
 use crate::private_memory::private_memory;
 use crate::process::{serve_command, KillOnDrop};
 use crate::temp_folder::TempFolder;
@@ -25,17 +27,23 @@
 
 impl ForwarderProcess {
     /// Starts a forwarder with the configuration that `config` returns for its listening address.
+    ///
+    /// The operating system selects the port, and the log tells it. A port that a test selects may be taken by one
+    /// of the many connections of other tests before the forwarder listens on it.
     pub fn start(name: &str, config: impl FnOnce(SocketAddr) -> Value) -> ForwarderProcess {
         let folder = TempFolder::new(name);
-        // The port was just released, and is not assigned again immediately.
-        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         let file = folder.path().join("configuration.json");
-        std::fs::write(&file, config(address).to_string()).unwrap();
-        let spawned = serve_command(&file, folder.path()).stdout(Stdio::null()).stderr(Stdio::null()).spawn();
+        std::fs::write(&file, config(any_port).to_string()).unwrap();
+        let log_file = folder.path().join("log");
+        let log = File::create(&log_file).unwrap();
+        let spawned = serve_command(&file, folder.path()).stdout(Stdio::null()).stderr(log).spawn();
         let process = KillOnDrop(spawned.unwrap());
-        let forwarder = ForwarderProcess { process, address, _folder: folder };
-        wait_for("the forwarder to listen", || TcpStream::connect(address).ok());
-        forwarder
+        let address = wait_for("the forwarder to listen", || {
+            let log = std::fs::read_to_string(&log_file).unwrap();
+            log.lines().find_map(listening_address)
+        });
+        ForwarderProcess { process, address, _folder: folder }
     }
 
     /// Returns the private memory of the process in bytes.
--- a/crates/daemon/tests/memory/main.rs
+++ b/crates/daemon/tests/memory/main.rs
@@ -4,6 +4,8 @@
 mod configuration;
 #[path = "../support/health.rs"]
 mod health;
+#[path = "../support/log_line.rs"]
+mod log_line;
 #[path = "../support/process.rs"]
 mod process;
 #[path = "../support/stub_server.rs"]
