Bodies of requests and of responses are read by one function

Change: `body_reader::read_body` passes on the bytes of each frame and drops it, with one typed error. A request's body decides in its buffer what is kept. The eighth of the memory stands once in `Limits`. No change of behaviour.

--- a/crates/forwarder/src/ingress/request_body.rs
+++ b/crates/forwarder/src/ingress/request_body.rs
@@ -1,17 +1,16 @@
 //! Reads the body of a request into a buffer of its own, whose capacity counts against a memory budget.
 //!
-//! The frames in which the HTTP library returns a body are not kept. Each keeps a read buffer of its connection
-//! alive, so that a body in small pieces would take many times its length.
+//! The capacity is granted before it is allocated. A body beyond the budget is received and discarded.
 
 use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use reeddock_protocol::{ClientResponse, SubmissionError, MAX_BODY_BYTES};
 use tokio::time::timeout;
 
+use crate::body_reader::{self, BodyError};
 use crate::connections::lock;
 use crate::log_throttle::LogThrottle;
 use crate::memory_budget::{BudgetExceeded, MemoryBudget, MemoryGrant};
@@ -79,22 +78,25 @@
 }
 
 async fn receive(body: Incoming, buffer: BodyBuffer) -> Result<ReceivedBody, ClientResponse> {
-    let mut body = Limited::new(body, MAX_BODY_BYTES);
     let mut length = 0;
-    let mut buffer = Ok(buffer);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                return ClientResponse::TooLarge;
+    // Dropped with its grant once the memory budget is exceeded.
+    let mut buffer: Result<BodyBuffer, BudgetExceeded> = Ok(buffer);
+    let read = body_reader::read_body(body, MAX_BODY_BYTES, |bytes| {
+        length += bytes.len();
+        if let Ok(kept) = &mut buffer {
+            if let Err(exceeded) = kept.append(bytes) {
+                buffer = Err(exceeded);
             }
+        }
+    });
+    match read.await {
+        Ok(()) => Ok(ReceivedBody { length, content: buffer.map(BodyBuffer::into_content) }),
+        Err(BodyError::TooLong) => Err(ClientResponse::TooLarge),
+        Err(BodyError::Unreadable(error)) => {
             let error = SubmissionError::UnreadableBody { reason: error.to_string() };
-            ClientResponse::Malformed { error }
-        })?;
-        let Some(bytes) = frame.data_ref() else { continue };
-        length += bytes.len();
-        buffer = buffer.and_then(|buffer| buffer.with(bytes));
+            Err(ClientResponse::Malformed { error })
+        }
     }
-    Ok(ReceivedBody { length, content: buffer.map(BodyBuffer::into_content) })
 }
 
 /// A buffer that grows as a body is received. Its capacity is granted before it is allocated.
@@ -109,8 +111,8 @@
         BodyBuffer { bytes: Vec::new(), expected_length, grant: budget.empty_grant() }
     }
 
-    /// Appends bytes. With an error, the buffer and its grant are dropped.
-    fn with(mut self, bytes: &[u8]) -> Result<BodyBuffer, BudgetExceeded> {
+    /// Appends bytes. With an error, the buffer stays as it was.
+    fn append(&mut self, bytes: &[u8]) -> Result<(), BudgetExceeded> {
         let length = self.bytes.len() + bytes.len();
         let capacity = self.bytes.capacity();
         if length > capacity {
@@ -119,7 +121,7 @@
             self.bytes.reserve_exact(stepped - self.bytes.len());
         }
         self.bytes.extend_from_slice(bytes);
-        Ok(self)
+        Ok(())
     }
 
     fn into_content(self) -> BodyContent {
--- a/crates/forwarder/src/lib.rs
+++ b/crates/forwarder/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`request_sender`] | sends requests to endpoints and interprets the responses |
 //! | [`connections`] | the pool of connections to endpoints |
 //! | [`http_progress`] | the progress of an HTTP exchange on a connection |
+//! | `body_reader` | reads HTTP bodies without keeping the buffers they are received into |
 //! | [`idle_permits`] | which endpoint kinds have capacity for idle connections |
 //! | [`discovery`] | the watch on the endpoint list |
 //! | [`watch_schedule`] | the times at which a lost watch is reopened |
@@ -31,6 +32,7 @@
 //! | [`clock`] | the policy's time, and the wall-clock time of stored records |
 
 pub mod address_pauses;
+mod body_reader;
 pub mod cached_endpoint_list;
 pub mod clock;
 pub mod connections;
--- a/crates/forwarder/src/limits.rs
+++ b/crates/forwarder/src/limits.rs
@@ -156,6 +156,7 @@
         let lingering_clients = client_descriptors / 8;
         let accepted_clients = client_descriptors - lingering_clients;
         let endpoint_connections = free_descriptors - client_descriptors;
+        let eighth_of_memory = resources.memory_bytes / 8;
         Limits {
             served_clients: accepted_clients - accepted_clients / 8,
             accepted_clients,
@@ -163,18 +164,10 @@
             keep_alive_clients: client_descriptors / 8,
             endpoint_connections,
             queued_events: EVENT_QUEUE_CAPACITY,
-            request_head_bytes: head_limit(
-                resources.memory_bytes / 8,
-                accepted_clients,
-                MAX_REQUEST_HEAD_BYTES,
-            ),
-            response_head_bytes: head_limit(
-                resources.memory_bytes / 8,
-                endpoint_connections,
-                MAX_RESPONSE_HEAD_BYTES,
-            ),
+            request_head_bytes: head_limit(eighth_of_memory, accepted_clients, MAX_REQUEST_HEAD_BYTES),
+            response_head_bytes: head_limit(eighth_of_memory, endpoint_connections, MAX_RESPONSE_HEAD_BYTES),
             // The remaining memory is for the other buffers of connections, the endpoint list and the program.
-            request_body_bytes: resources.memory_bytes / 8,
+            request_body_bytes: eighth_of_memory,
             list_bytes: resources.memory_bytes,
             message_bytes: resources.memory_bytes / 4,
         }
--- a/crates/forwarder/src/request_sender/mod.rs
+++ b/crates/forwarder/src/request_sender/mod.rs
@@ -3,7 +3,6 @@
 //! | module | purpose |
 //! | --- | --- |
 //! | `request` | requests and their results |
-//! | `response_body` | reads response bodies in bounded memory |
 //! | `response_remainder` | reads the rest of responses whose results are known |
 //! | `send_state` | tracks which messages of a batch are sent when its connection is open |
 //! | `sent_batch` | the messages that a request carries when it is sent |
@@ -11,7 +10,6 @@
 //! | `supervisor` | applies time limits and cancellations to a request in flight, and reports results |
 
 mod request;
-mod response_body;
 mod response_remainder;
 mod send_state;
 mod sender;
--- a/crates/forwarder/src/request_sender/response_remainder.rs
+++ b/crates/forwarder/src/request_sender/response_remainder.rs
@@ -6,10 +6,11 @@
 
 use hyper::body::Incoming;
 use reeddock::EndpointId;
+use reeddock_protocol::MAX_BODY_BYTES;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use super::response_body::discard_body;
+use crate::body_reader::read_body;
 use crate::connections::{lock, Connection, ConnectionPool};
 
 /// How long the rest of a response is read before a known result is returned. A connection whose response
@@ -18,6 +19,9 @@
 /// How long the rest of a response is read in the background before the connection is closed.
 const REMAINDER_READ_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The maximum number of bytes read from a response body, in case the body has no end.
+pub(super) const MAX_RESPONSE_BYTES: usize = 2 * MAX_BODY_BYTES;
+
 /// The rest of a response whose result is known.
 pub(super) struct ResponseRemainder {
     pub(super) endpoint: EndpointId,
@@ -26,9 +30,9 @@
 }
 
 impl ResponseRemainder {
-    /// Reads the rest of the response and returns its connection to the pool.
+    /// Reads and discards the rest of the response, and returns its connection to the pool.
     async fn read(mut self, connections: ConnectionPool) {
-        let complete = discard_body(self.body).await.is_ok();
+        let complete = read_body(self.body, MAX_RESPONSE_BYTES, |_| {}).await.is_ok();
         if complete && self.connection.ready().await {
             connections.release(self.endpoint, self.connection);
         }
--- a/crates/forwarder/src/request_sender/sender.rs
+++ b/crates/forwarder/src/request_sender/sender.rs
@@ -14,9 +14,11 @@
 use tower::Service;
 
 use super::request::{BatchMessage, EndpointRequest, MessageResult, RequestResult};
-use super::response_body::{read_body, IncompleteBody};
-use super::response_remainder::{ResponseRemainder, ResponseRemainders, REMAINDER_WAIT_BEFORE_RESULT};
+use super::response_remainder::{
+    ResponseRemainder, ResponseRemainders, MAX_RESPONSE_BYTES, REMAINDER_WAIT_BEFORE_RESULT,
+};
 use super::sent_batch::SentBatch;
+use crate::body_reader::read_body;
 use crate::connections::{Connection, ConnectionPool};
 
 /// Sends requests to endpoints. Dropping the future of a request closes its connection and cancels the
@@ -190,8 +192,8 @@
         batch: &SentBatch,
     ) -> RequestResult {
         let mut decoder = BatchResponseDecoder::new(&batch.messages);
-        let body = read_body(body, |bytes| decoder.decode(bytes));
-        if let Err(IncompleteBody) = self.wait_for_body(head, body).await {
+        let body = read_body(body, MAX_RESPONSE_BYTES, |bytes| decoder.decode(bytes));
+        if self.wait_for_body(head, body).await.is_err() {
             // The `Retry-After` is in the head and is valid even if the body is incomplete.
             let retry_after = head.retry_after;
             return RequestResult { retry_after, ..batch.same_for_all(AttemptResult::MalformedResponse) };
