Memory tests: one start with a confirmed list, and the limit on a body from protocol

Cause: two test files started a forwarder with the same lines and had the 64 KiB of `MAX_BODY_BYTES` as a constant of their own; a field had one value, and a count took a detour.

Change: `start_with_confirmed_list`, the constant of reeddock-protocol, plainer loops.

--- a/crates/daemon/tests/memory/deployment.rs
+++ b/crates/daemon/tests/memory/deployment.rs
@@ -43,21 +43,20 @@
     /// Checks that the forwarder stayed below half of its memory limit. `peak` is its highest private memory in
     /// bytes.
     pub fn check_peak(&self, peak: u64) {
-        let (memory_mb, half) = (self.memory_mb, self.half_of_memory());
+        let (memory_mb, half) = (self.memory_mb, self.memory_bytes() / 2);
         println!("{peak} bytes of private memory at a limit of {memory_mb} MB");
         assert!(peak < half, "{peak} bytes of private memory, expected less than {half} of {memory_mb} MB");
     }
 
     /// Checks that the forwarder stayed below its memory limit. `memory` is its private memory in bytes.
     pub fn check_below_limit(&self, memory: u64) {
-        let limit = self.memory_mb * BYTES_PER_MEGABYTE;
+        let limit = self.memory_bytes();
         println!("{memory} bytes of private memory at a limit of {limit}");
         assert!(memory < limit, "{memory} bytes of private memory, expected less than {limit}");
     }
 
-    /// Returns half of the memory limit in bytes, which the forwarder aims to stay below.
-    fn half_of_memory(&self) -> u64 {
-        self.memory_mb * BYTES_PER_MEGABYTE / 2
+    fn memory_bytes(&self) -> u64 {
+        self.memory_mb * BYTES_PER_MEGABYTE
     }
 
     /// Returns the full list of the deployment's endpoints, all at one address.
--- a/crates/daemon/tests/memory/forwarder.rs
+++ b/crates/daemon/tests/memory/forwarder.rs
@@ -6,10 +6,11 @@
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use serde_json::Value;
+use serde_json::{json, Value};
 
-use crate::deployment::AT_MOST_ONCE;
+use crate::deployment::{Deployment, AT_MOST_ONCE};
 use crate::log_line::listening_address;
+use crate::platform::{NoticeResponse, Platform};
 use crate::private_memory::private_memory;
 use crate::process::{serve_command, KillOnDrop};
 use crate::temp_folder::TempFolder;
@@ -46,6 +47,20 @@
         ForwarderProcess { process, address, _folder: folder }
     }
 
+    /// Starts a forwarder whose cached list has the deployment's endpoints at this address. A platform that
+    /// acknowledges notices confirms the list.
+    pub fn start_with_confirmed_list(
+        name: &str,
+        deployment: Deployment,
+        endpoint: SocketAddr,
+    ) -> ForwarderProcess {
+        let platform = Platform::new(NoticeResponse::Acknowledge);
+        platform.publish(json!({"generation": 1, "reset": false, "instances": []}).to_string());
+        let platform_address = platform.start();
+        let cached_list = deployment.endpoint_list(1, endpoint);
+        ForwarderProcess::start(name, |listen| deployment.config(listen, platform_address, &cached_list))
+    }
+
     /// Returns the private memory of the process in bytes.
     pub fn private_memory(&self) -> u64 {
         private_memory(&self.process.0)
@@ -82,13 +97,15 @@
                         let request = submission(&format!("m{number}"), number % destinations, body);
                         stream.write_all(request.as_bytes()).unwrap();
                         let status_line = read_status_line(&mut responses);
-                        let counted = if status_line.contains(" 202 ") { 1 } else { 0 };
-                        accepted.fetch_add(counted, Ordering::Relaxed);
-                        rejected.fetch_or(status_line.contains(" 503 "), Ordering::Relaxed);
+                        if status_line.contains(" 503 ") {
+                            rejected.store(true, Ordering::Relaxed);
+                            return;
+                        }
                         assert!(
-                            counted == 1 || status_line.contains(" 503 "),
+                            status_line.contains(" 202 "),
                             "message {number}: expected 202 or 503, found {status_line}"
                         );
+                        accepted.fetch_add(1, Ordering::Relaxed);
                     }
                 });
             }
--- a/crates/daemon/tests/memory/receive_queue.rs
+++ b/crates/daemon/tests/memory/receive_queue.rs
@@ -24,17 +24,16 @@
     /// own.
     pub fn wait_until_empty(&self) {
         let start = Instant::now();
-        while addresses_with_unread_bytes().any(|address| self.peers.contains(&address)) {
+        while addresses_with_unread_bytes().iter().any(|address| self.peers.contains(address)) {
             assert!(start.elapsed() < WAIT_TIMEOUT, "timed out waiting for written bytes to be read");
         }
     }
 }
 
 /// Returns the local addresses of all sockets whose receive queue is not empty.
-fn addresses_with_unread_bytes() -> impl Iterator<Item = SocketAddr> {
+fn addresses_with_unread_bytes() -> Vec<SocketAddr> {
     let table = std::fs::read_to_string(SOCKET_TABLE).unwrap();
-    let addresses: Vec<SocketAddr> = table.lines().skip(1).filter_map(unread_address).collect();
-    addresses.into_iter()
+    table.lines().skip(1).filter_map(unread_address).collect()
 }
 
 /// Returns the local address in a row of the table. `None` if the socket's receive queue is empty.
--- a/crates/daemon/tests/memory/responses.rs
+++ b/crates/daemon/tests/memory/responses.rs
@@ -17,8 +17,8 @@
 /// The number of responses that go on at the same time, each to another destination. One further destination
 /// gets an ordinary message afterwards.
 const RESPONSES: u64 = 64;
-/// The number of pieces that a body is continued by.
-const BODY_PIECES: usize = 400;
+/// The number of pieces that a response is continued by.
+const PIECES: usize = 400;
 
 /// The id of the message that is submitted after the responses have gone on. Its response is an ordinary one.
 const LAST_MESSAGE: &str = "last";
@@ -75,15 +75,13 @@
     beginning: &'static str,
     /// The bytes that each response is continued by, which the forwarder reads in one read.
     piece: &'static str,
-    /// How often each response is continued.
-    pieces: usize,
     /// The messages of each request.
     messages_per_request: u64,
 }
 
 impl Scenario {
     fn new(beginning: &'static str, piece: &'static str) -> Scenario {
-        Scenario { beginning, piece, pieces: BODY_PIECES, messages_per_request: 1 }
+        Scenario { beginning, piece, messages_per_request: 1 }
     }
 
     /// Plays the scenario, and returns the forwarder's highest private memory in bytes. Afterwards the forwarder
@@ -112,7 +110,7 @@
         assert_eq!(sent_in_batches, self.messages_per_request > 1, "messages per request");
         let queues = ReceiveQueues::of_peers(&streams);
         let mut peak = 0;
-        for _ in 0..self.pieces {
+        for _ in 0..PIECES {
             streams.retain_mut(|stream| stream.write_all(self.piece.as_bytes()).is_ok());
             queues.wait_until_empty();
             peak = peak.max(forwarder.private_memory());
--- a/crates/daemon/tests/memory/soak.rs
+++ b/crates/daemon/tests/memory/soak.rs
@@ -11,11 +11,10 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use serde_json::json;
+use reeddock_protocol::MAX_BODY_BYTES;
 
 use crate::deployment::{Deployment, SMALLEST_MEMORY_LIMIT_MB};
 use crate::forwarder::{submission, ForwarderProcess};
-use crate::platform::{NoticeResponse, Platform};
 use crate::stub_server::{start_stub, Connection, Request, OK_RESPONSE};
 use crate::wait::wait_for;
 
@@ -25,8 +24,6 @@
 const CLIENTS: u64 = 48;
 /// The number of destinations, each with one endpoint.
 const DESTINATIONS: u64 = 40;
-/// The largest body of a message, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024;
 /// How long a client waits for a response before it closes its connection.
 const CLIENT_TIMEOUT: Duration = Duration::from_millis(400);
 /// The number of endless responses that are continued at the same time. The oldest is closed for a further one.
@@ -153,13 +150,7 @@
         destinations: DESTINATIONS,
         ..Deployment::with_most_descriptors(SMALLEST_MEMORY_LIMIT_MB)
     };
-    let platform = Platform::new(NoticeResponse::Acknowledge);
-    platform.publish(json!({"generation": 1, "reset": false, "instances": []}).to_string());
-    let platform_address = platform.start();
-    let cached_list = deployment.endpoint_list(1, endpoint);
-    let forwarder = ForwarderProcess::start("memory-soak", |listen| {
-        deployment.config(listen, platform_address, &cached_list)
-    });
+    let forwarder = ForwarderProcess::start_with_confirmed_list("memory-soak", deployment, endpoint);
     let is_finished = AtomicBool::new(false);
     let acting = AtomicU64::new(CLIENTS);
     let mut peak = 0;
--- a/crates/daemon/tests/memory/submissions.rs
+++ b/crates/daemon/tests/memory/submissions.rs
@@ -3,11 +3,10 @@
 use std::io::Write;
 use std::net::TcpStream;
 
-use serde_json::json;
+use reeddock_protocol::MAX_BODY_BYTES;
 
 use crate::deployment::{Deployment, MEMORY_LIMITS_MB};
 use crate::forwarder::{submission, ForwarderProcess};
-use crate::platform::{NoticeResponse, Platform};
 use crate::receive_queue::ReceiveQueues;
 use crate::stub_server::{start_stub, Connection, Request};
 
@@ -17,9 +16,6 @@
 const MAX_CLIENTS: usize = 520;
 /// The number of messages that are submitted at most, more than fit into the memory of any test.
 const MAX_MESSAGES: u64 = 10_000;
-/// The largest body of a message, in bytes.
-const MAX_BODY_BYTES: usize = 64 * 1024;
-
 /// The number of headers of a long request head.
 const PADDING_HEADERS: usize = 90;
 /// The length of each header of a long request head, in bytes.
@@ -32,13 +28,7 @@
 
 fn start_forwarder(deployment: Deployment) -> ForwarderProcess {
     let endpoint = start_stub(&(), never_respond);
-    let platform = Platform::new(NoticeResponse::Acknowledge);
-    platform.publish(json!({"generation": 1, "reset": false, "instances": []}).to_string());
-    let platform_address = platform.start();
-    let cached_list = deployment.endpoint_list(1, endpoint);
-    ForwarderProcess::start("submission-memory", |listen| {
-        deployment.config(listen, platform_address, &cached_list)
-    })
+    ForwarderProcess::start_with_confirmed_list("submission-memory", deployment, endpoint)
 }
 
 fn connect(forwarder: &ForwarderProcess) -> TcpStream {
