--- a/review/lib-2/rig.rs
+++ b/review/lib-2/rig.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -52,6 +53,12 @@
     }
 }
 
+/// A loopback address of this process alone, so that cases beside each other don't take each other's ports.
+pub fn loopback() -> String {
+    let id = std::process::id();
+    format!("127.{}.{}.{}", 64 + (id >> 16) % 64, (id >> 8) & 255, 1 + (id & 255) % 254)
+}
+
 /// The folder of a run outside the repository, removed at its end.
 pub struct TempFolder(pub PathBuf);
 
@@ -204,6 +211,9 @@
     changes: Vec<(u64, Entry)>,
     /// While set, discovery is down: the agent says nothing to watches, and learns nothing.
     down: bool,
+    /// Watches opened before this count have fallen silent: they stay open and say nothing.
+    silent_before: u64,
+    watches: u64,
     /// Notices: id, time, status.
     finals: Vec<(String, f64, String)>,
 }
@@ -225,7 +235,7 @@
     }
 
     fn listen(record: &Record, state: Arc<(Mutex<PlatformState>, Condvar)>) -> io::Result<Platform> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = TcpListener::bind((loopback(), 0))?;
         let address = listener.local_addr()?;
         let platform = Platform { address, record: record.clone(), state, stopped: Arc::default() };
         let serving = platform.clone();
@@ -252,6 +262,13 @@
         self.state.1.notify_all();
     }
 
+    /// Lets all open watches fall silent. Their connections stay open; new watches are served.
+    pub fn silence_open_watches(&self) {
+        let mut state = lock(&self.state.0);
+        state.silent_before = state.watches;
+        self.record.line("open watches fall silent");
+    }
+
     /// Adds or changes an entry, as one new generation.
     pub fn put(&self, entry: Entry) {
         let mut state = lock(&self.state.0);
@@ -314,10 +331,15 @@
     fn watch(&self, mut stream: TcpStream, mut index: u64) -> io::Result<()> {
         let mut is_first = true;
         let mut last_line = Instant::now();
+        let number = {
+            let mut state = lock(&self.state.0);
+            state.watches += 1;
+            state.watches - 1
+        };
         loop {
             let (line, generation) = {
                 let mut state = lock(&self.state.0);
-                while state.down {
+                while state.down || number < state.silent_before {
                     state = self.state.1.wait_timeout(state, ms(50)).unwrap_or_else(|p| p.into_inner()).0;
                     if is_closed(&stream) || self.stopped.load(Ordering::SeqCst) {
                         return Ok(());
@@ -376,6 +398,10 @@
     RunAndClose,
     /// Runs all messages, then writes these bytes and leaves the connection open until the other side ends it.
     RunAndSay(Vec<u8>),
+    /// 429 with this wait in seconds, whose body follows its head after a while.
+    FullWithLateBody(f64, Duration),
+    /// Each message of the call fares on its own: the function says how, by id (`accepted`, `fault`, `deferred`).
+    Each(fn(&str) -> &'static str),
 }
 
 /// One message of a call that reached a target.
@@ -444,7 +470,7 @@
         name: &str,
         behaviour: impl Fn(&CallInfo) -> Reply + Send + Sync + 'static,
     ) -> io::Result<Target> {
-        self.start_at("127.0.0.1:0", name, behaviour)
+        self.start_at(&format!("{}:0", loopback()), name, behaviour)
     }
 
     pub fn start_at(
@@ -490,7 +516,10 @@
                 thread::sleep(if endless { ms(5) } else { left.min(ms(5)) });
                 if is_closed(&stream) {
                     // A call whose connection has ended runs on to its end, as most targets do.
-                    let ran = !matches!(reply.kind, ReplyKind::Hang | ReplyKind::Fault | ReplyKind::Full(_));
+                    let ran = matches!(
+                        reply.kind,
+                        ReplyKind::Run | ReplyKind::RunAndClose | ReplyKind::RunAndSay(_)
+                    );
                     self.note_end(first, ids.len(), "given up by the forwarder", ran);
                     return Ok(());
                 }
@@ -527,6 +556,37 @@
                     let _ = io::copy(&mut stream, &mut io::sink());
                     return Ok(());
                 }
+                ReplyKind::FullWithLateBody(wait, gap) => {
+                    self.note_end(first, ids.len(), "429", false);
+                    let head = format!(
+                        "HTTP/1.1 429 Too Many Requests\r\nRetry-After: {wait}\r\nContent-Length: 5\r\n\r\n"
+                    );
+                    stream.write_all(head.as_bytes())?;
+                    thread::sleep(*gap);
+                    stream.write_all(b"full\n")?;
+                }
+                ReplyKind::Each(word_of) => {
+                    let words: Vec<&'static str> = ids.iter().map(|id| word_of(id)).collect();
+                    for (offset, word) in words.iter().enumerate() {
+                        let (outcome, ran) = match *word {
+                            "accepted" => ("200", true),
+                            "deferred" => ("429", false),
+                            _ => ("500", false),
+                        };
+                        self.note_end(first + offset, 1, outcome, ran);
+                    }
+                    if is_batch {
+                        let lines = ids.iter().zip(&words).map(|(id, word)| format!("{id} {word}\n"));
+                        respond(&mut stream, "200 OK", "", &lines.collect::<String>())?;
+                    } else {
+                        let status = match words.first() {
+                            Some(&"accepted") => "200 OK",
+                            Some(&"deferred") => "429 Too Many Requests",
+                            _ => "500 Internal Server Error",
+                        };
+                        respond(&mut stream, status, "", "")?;
+                    }
+                }
                 ReplyKind::Hang => {}
             }
         }
@@ -682,7 +742,7 @@
 
 impl Forwarder {
     pub fn new(name: &str, root: &Path, temp: &Path, record: &Record) -> io::Result<Forwarder> {
-        let listen = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let listen = TcpListener::bind((loopback(), 0))?.local_addr()?;
         let folder = temp.join(name);
         fs::create_dir_all(folder.join("state"))?;
         fs::create_dir_all(folder.join("tmp"))?;
@@ -740,6 +800,7 @@
             .stderr(log)
             .spawn()?;
         self.record.line(&format!("{} started, pid {}", self.name, child.id()));
+        lock(&STARTED).push(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -780,11 +841,14 @@
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             self.record.line(&format!("{} SIGKILL", self.name));
-            let _ = child.kill();
-            let _ = child.wait();
+            end(&mut child);
         }
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Returns the exit status if the process has ended by itself.
     pub fn ended(&mut self) -> Option<String> {
         let status = self.child.as_mut()?.try_wait().ok().flatten()?;
@@ -799,12 +863,35 @@
 impl Drop for Forwarder {
     fn drop(&mut self) {
         if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
+            end(&mut child);
         }
     }
 }
 
+/// The ids of processes that this one has started and that have not ended.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// A case that is not over by then ends its processes and exits with 2.
+const LONGEST_RUN: Duration = Duration::from_secs(110);
+
+/// Kills a process and waits until it is gone.
+fn end(child: &mut Child) {
+    let _ = child.kill();
+    let _ = child.wait();
+    lock(&STARTED).retain(|id| *id != child.id());
+}
+
+/// Ends the run if it takes too long.
+fn watch_over_run() {
+    thread::spawn(|| {
+        thread::sleep(LONGEST_RUN);
+        for id in lock(&STARTED).iter() {
+            let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {id}")).status();
+        }
+        eprintln!("the case could not run: not over after {LONGEST_RUN:?}");
+        std::process::exit(2);
+    });
+}
+
 /// The command `run` of the deploy file.
 fn run_command(root: &Path) -> io::Result<String> {
     let deploy = fs::read_to_string(root.join("deploy/balancer.toml"))?;
@@ -823,13 +910,15 @@
 
 /// Runs a case and exits: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 pub fn run_case(case: impl FnOnce(&Record, &Path, &Path) -> io::Result<Verdict>) -> ! {
-    let code = match run(case) {
-        Ok(Verdict::Held) => 0,
-        Ok(Verdict::Broken(_)) => 1,
-        Err(error) => {
+    watch_over_run();
+    let code = match catch_unwind(AssertUnwindSafe(|| run(case))) {
+        Ok(Ok(Verdict::Held)) => 0,
+        Ok(Ok(Verdict::Broken(_))) => 1,
+        Ok(Err(error)) => {
             eprintln!("the case could not run: {error}");
             2
         }
+        Err(_) => 2,
     };
     std::process::exit(code)
 }
